--- /dev/null
+++ b/cmd/bamboodeal-sidecar/main.go
@@ -0,0 +1,103 @@
+// Command bamboodeal-sidecar is the node of a mesh on the users' platform: it runs beside one upstream, follows the
+// platform's store and carries requests.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/bamboodeal/bamboodeal/pkg/clock"
+	"github.com/bamboodeal/bamboodeal/pkg/forward"
+	"github.com/bamboodeal/bamboodeal/pkg/logging"
+	"github.com/bamboodeal/bamboodeal/pkg/mesh"
+	"github.com/bamboodeal/bamboodeal/pkg/settings"
+	"github.com/bamboodeal/bamboodeal/platform"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+const (
+	// gcPercent trades processor time for memory: the live heap of a node is a few megabytes.
+	gcPercent = 50
+	// memoryShare is the part, in percent, of the VM's memory that the runtime tries to stay below.
+	memoryShare = 60
+)
+
+func main() {
+	file := os.Getenv(platform.SettingsVariable)
+	flaggy.SetName("bamboodeal-sidecar")
+	flaggy.SetDescription("carries the requests of a mesh beside one upstream on the users' platform")
+	flaggy.SetVersion(version)
+	flaggy.String(&file, "", "settings", "JSON file with the settings of this node; default: $"+platform.SettingsVariable)
+	flaggy.Parse()
+	os.Exit(run(file))
+}
+
+func run(file string) int {
+	log, err := logging.New(os.Stdout, "info", nil)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bamboodeal-sidecar:", err)
+		return exitFailure
+	}
+	s, err := platform.LoadSettings(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bamboodeal-sidecar:", err)
+		return exitSettings
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(s.Node.MemoryLimit * memoryShare / 100)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := serve(ctx, file, s, log); err != nil && !errors.Is(err, context.Canceled) {
+		log.WithError(err).Error("the node failed")
+		return exitFailure
+	}
+	return 0
+}
+
+// serve runs the control goroutine and the traffic of the node until ctx ends.
+func serve(ctx context.Context, file string, s *platform.Settings, log *logrus.Logger) error {
+	log.WithFields(logrus.Fields{"vm": s.Node.VM, "service": s.Node.Service, "version": version}).Info("starting")
+	c := clock.System()
+	var node *forward.Node
+	maintainer := mesh.NewMaintainer(platform.NewStore(s.Store, log), s.Node.UpstreamAddress, c, log,
+		func(v *mesh.View) { node.ViewChanged(v) })
+	node, err := forward.New(forward.Options{
+		Settings: s.Node, Headers: platform.Headers, Clock: c, Log: log, View: maintainer.View,
+	})
+	if err != nil {
+		return err
+	}
+	control, stopControl := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { maintainer.Run(control) })
+	group.Go(func() {
+		settings.Watch(control, file, func() {
+			if _, err := platform.LoadSettings(file); err != nil {
+				log.WithError(err).Error("refused the changed settings; the previous ones stay in force")
+				return
+			}
+			log.Info("the settings are valid; addresses change with the next start")
+		}, log)
+	})
+	err = node.Run(ctx)
+	stopControl()
+	group.Wait()
+	return err
+}
--- /dev/null
+++ b/decision/allowance/allowance.go
@@ -0,0 +1,146 @@
+// Package allowance keeps each team within its rate and burst, counted over all nodes. One node holds the bucket of a
+// team, chosen by hash from the list of VMs; the others borrow tokens from it for a short time. A holder that starts
+// or takes over begins with an empty bucket, so restarts and moves never admit more than the rate and one burst.
+package allowance
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// LeaseTime is how long borrowed tokens may be used. With it, any window of 5 s sees at most 6 s of the rate.
+	LeaseTime = time.Second
+	// maxLease bounds the tokens of one lease.
+	maxLease = 6
+	// aheadTime is the demand for which tokens are borrowed in advance.
+	aheadTime = 500 * time.Millisecond
+	// demandWeight is the weight of a new sample in the demand of a team.
+	demandWeight = 0.2
+	// separateShare is the part of the equal share of a rate that a node uses while it does not reach the holder.
+	// All nodes of one side of a partition together then stay below the rate, and the two sides below the
+	// tolerance of the limit.
+	separateShare = 0.7
+	// minRetry is the shortest time after which an empty bucket is asked again.
+	minRetry = 50 * time.Millisecond
+)
+
+// Limit is a team's allowance: Rate in requests a second, Burst in requests.
+type Limit struct {
+	Rate  float64
+	Burst float64
+}
+
+// Holder returns the VM that holds the bucket of a team: the highest rendezvous hash, so that a VM that leaves moves
+// only its own teams.
+func Holder(team string, vms []string) string {
+	best, highest := "", uint64(0)
+	for _, vm := range vms {
+		if h := xxhash.Sum64String(vm + "/" + team); best == "" || h > highest {
+			best, highest = vm, h
+		}
+	}
+	return best
+}
+
+// Buckets are the buckets that a node holds. It is not safe for concurrent use.
+type Buckets struct {
+	buckets map[string]*bucket
+}
+
+type bucket struct {
+	tokens  float64
+	updated time.Duration
+}
+
+// NewBuckets returns a node without buckets.
+func NewBuckets() *Buckets { return &Buckets{buckets: map[string]*bucket{}} }
+
+// Lease takes up to want tokens of a team. With none granted, retry is the time until there may be one.
+func (b *Buckets) Lease(now time.Duration, team string, l Limit, want int) (granted int, retry time.Duration) {
+	k := b.buckets[team]
+	if k == nil {
+		k = &bucket{updated: now}
+		b.buckets[team] = k
+	}
+	k.tokens = min(max(l.Burst, 1), k.tokens+l.Rate*(now-k.updated).Seconds())
+	k.updated = now
+	granted = max(0, min(want, int(k.tokens)))
+	k.tokens -= float64(granted)
+	if granted > 0 || l.Rate <= 0 {
+		return granted, 0
+	}
+	return 0, max(minRetry, time.Duration((1-k.tokens)/l.Rate*float64(time.Second)))
+}
+
+// Borrower holds the borrowed tokens of one team at one node. It is not safe for concurrent use.
+type Borrower struct {
+	tokens  int
+	expires time.Duration
+	// emptyUntil is when the holder is asked again after it had no tokens.
+	emptyUntil time.Duration
+	// demand is the moving average of the requests a second.
+	demand  float64
+	arrived time.Duration
+	// separate is the bucket that is used while the holder is not reached.
+	separate bucket
+}
+
+// Arrived counts a request of the team.
+func (b *Borrower) Arrived(now time.Duration) {
+	if gap := (now - b.arrived).Seconds(); b.arrived > 0 {
+		b.demand += demandWeight * (1/max(gap, 0.001) - b.demand) * min(1, gap*4+0.05)
+	}
+	b.arrived = now
+}
+
+// Take uses a borrowed token and reports whether there was one.
+func (b *Borrower) Take(now time.Duration) bool {
+	if b.tokens == 0 || now >= b.expires {
+		b.tokens = 0
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Wants returns how many tokens to borrow for a number of waiting requests, or 0 while the holder is known to be
+// empty.
+func (b *Borrower) Wants(now time.Duration, waiting int) int {
+	if now < b.emptyUntil {
+		return 0
+	}
+	ahead := int(math.Ceil(min(b.demand, 1000) * aheadTime.Seconds()))
+	return max(1, waiting, min(waiting+ahead, maxLease))
+}
+
+// EmptyFor returns how long the holder is known to be empty.
+func (b *Borrower) EmptyFor(now time.Duration) time.Duration { return max(0, b.emptyUntil-now) }
+
+// Granted takes the holder's answer to a question that was asked at a time.
+func (b *Borrower) Granted(asked time.Duration, granted int, retry time.Duration) {
+	if granted == 0 {
+		b.emptyUntil = asked + retry
+		return
+	}
+	b.tokens += granted
+	b.expires = asked + LeaseTime
+}
+
+// TakeSeparately uses the node's own small share while the holder is not reached.
+func (b *Borrower) TakeSeparately(now time.Duration, l Limit, nodes int) bool {
+	share := l.Rate * separateShare / float64(max(1, nodes))
+	s := &b.separate
+	if s.updated == 0 || now-s.updated > LeaseTime {
+		*s = bucket{updated: now, tokens: min(1, share)}
+	}
+	s.tokens = min(max(1, share), s.tokens+share*(now-s.updated).Seconds())
+	s.updated = now
+	if s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	return true
+}
--- a/decision/retry/budget.go
+++ b/decision/retry/budget.go
@@ -17,27 +17,40 @@
 // Budget limits a node's extra attempts to 10% of its first attempts, with a floor of one attempt in 2 s so
 // that a node with few calls can retry at all. It is not safe for concurrent use.
 type Budget struct {
-	tokens  float64
-	floor   float64
-	updated time.Duration
+	tokens   float64
+	capacity float64
+	floor    float64
+	// floorless budgets earn nothing while idle.
+	floorless bool
+	updated   time.Duration
+}
+
+// NewEarnedBudget returns a budget that starts full, saves up at most capacity attempts and earns only by first
+// attempts.
+func NewEarnedBudget(saved float64) *Budget {
+	return &Budget{tokens: saved, capacity: saved, floorless: true}
 }
 
 // NewBudget returns a budget that holds the floor of an idle node.
 func NewBudget(now time.Duration) *Budget {
-	return &Budget{floor: floorCapacity, updated: now}
+	return &Budget{capacity: capacity, floor: floorCapacity, updated: now}
 }
 
 // Deposit counts a first attempt.
-func (b *Budget) Deposit() { b.tokens = min(capacity, b.tokens+share) }
+func (b *Budget) Deposit() { b.tokens = min(b.capacity, b.tokens+share) }
+
+// nearlyOne allows for the rounding errors of ten deposits, which must not cost the attempt they earned.
+const nearlyOne = 1 - 1e-9
+
+// Available reports whether Withdraw would succeed without what an idle node earns.
+func (b *Budget) Available() bool { return b.tokens >= nearlyOne || b.floor >= nearlyOne }
 
 // Withdraw takes one extra attempt and reports whether there was one.
 func (b *Budget) Withdraw(now time.Duration) bool {
-	if now > b.updated {
+	if now > b.updated && !b.floorless {
 		b.floor = min(floorCapacity, b.floor+float64(now-b.updated)/float64(floorInterval))
 		b.updated = now
 	}
-	// The rounding errors of ten deposits must not cost the attempt they earned.
-	const nearlyOne = 1 - 1e-9
 	switch {
 	case b.tokens >= nearlyOne:
 		b.tokens--
--- /dev/null
+++ b/decision/slots/queue.go
@@ -0,0 +1,303 @@
+// Package slots decides which requests an upstream runs, which wait for it and which are refused. A Queue is the only
+// way to its upstream, so it counts the running requests exactly and keeps a cold upstream below its rate.
+package slots
+
+import (
+	"time"
+)
+
+// Reason says why a request is refused.
+type Reason string
+
+// Reasons of a refusal.
+const (
+	// Busy means that another upstream may serve the request in time.
+	Busy Reason = "busy"
+	// TooLate means that the request cannot end before its deadline.
+	TooLate Reason = "too_late"
+	// Cold means that the upstream bears no more requests for now.
+	Cold Reason = "cold"
+	// Displaced means that a more urgent request took the place.
+	Displaced Reason = "displaced"
+)
+
+const (
+	// maxWaiting bounds the waiting requests for each slot; more of them cannot meet any deadline.
+	maxWaiting = 12
+	// meanWeight is the weight of a new sample in the moving averages.
+	meanWeight = 0.1
+	// unknownLatency stands for a route without samples.
+	unknownLatency = 100 * time.Millisecond
+	// coldWindow is the span in which the requests to a cold upstream are counted.
+	coldWindow = time.Second
+	// tolerance is the part of the time left that the estimate of a request's end may use up; the rest covers the
+	// spread of service times.
+	tolerance = 0.8
+)
+
+// Request is a request for a slot. Times are on the process's monotonic clock.
+type Request struct {
+	ID    uint64
+	Route string
+	// Priority is 0 for the most urgent.
+	Priority int
+	// Deadline is when the caller gives up, Objective when the answer loses most of its worth.
+	Deadline  time.Duration
+	Objective time.Duration
+	// Strict requests are refused when they would miss their objective, because another upstream is to be tried.
+	Strict bool
+}
+
+// Decision is the outcome of an arrival.
+type Decision struct {
+	Start  bool
+	Wait   bool
+	Reason Reason
+	// After is when a place is expected to be free, from now.
+	After time.Duration
+}
+
+// Action starts a waiting request or refuses it.
+type Action struct {
+	ID     uint64
+	Reason Reason
+}
+
+// Load describes the queue for senders.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	Cold    bool
+	// Mean is the mean service time.
+	Mean time.Duration
+}
+
+type waiter struct {
+	Request
+	arrived time.Duration
+}
+
+// Queue is not safe for concurrent use.
+type Queue struct {
+	slots     int
+	running   int
+	waiting   []*waiter
+	latency   map[string]time.Duration
+	mean      time.Duration
+	coldUntil time.Duration
+	coldRate  float64
+	// starts are the times of the requests that were started within coldWindow.
+	starts []time.Duration
+}
+
+// NewQueue returns the queue of an upstream with a number of slots.
+func NewQueue(slots int) *Queue {
+	return &Queue{slots: slots, latency: map[string]time.Duration{}, mean: unknownLatency}
+}
+
+// SetSlots changes the number of slots; running requests above it go on.
+func (q *Queue) SetSlots(now time.Duration, slots int) []Action {
+	q.slots = max(1, slots)
+	return q.advance(now)
+}
+
+// SetCold notes until when the upstream is cold and the rate in requests a second that it then bears.
+func (q *Queue) SetCold(now, until time.Duration, rate float64) []Action {
+	q.coldUntil, q.coldRate = until, rate
+	return q.advance(now)
+}
+
+// Load returns the current load.
+func (q *Queue) Load(now time.Duration) Load {
+	return Load{Running: q.running, Waiting: len(q.waiting), Slots: q.slots, Cold: q.cold(now), Mean: q.mean}
+}
+
+func (q *Queue) cold(now time.Duration) bool { return now < q.coldUntil }
+
+// free reports whether a request can start now.
+func (q *Queue) free(now time.Duration) bool {
+	return q.running < q.slots && q.coldWait(now) == 0
+}
+
+// coldWait returns how long a cold upstream bears no further request.
+func (q *Queue) coldWait(now time.Duration) time.Duration {
+	if !q.cold(now) || q.coldRate <= 0 {
+		return 0
+	}
+	allowed := max(1, int(q.coldRate))
+	if len(q.starts) < allowed {
+		return 0
+	}
+	return max(0, q.starts[len(q.starts)-allowed]+coldWindow-now)
+}
+
+func (q *Queue) expected(route string) time.Duration {
+	if l, ok := q.latency[route]; ok {
+		return l
+	}
+	return q.mean
+}
+
+// delay estimates when a new request of a priority starts, from now.
+func (q *Queue) delay(now time.Duration, priority int) time.Duration {
+	ahead := 0
+	for _, w := range q.waiting {
+		if w.Priority <= priority {
+			ahead++
+		}
+	}
+	if q.free(now) && ahead == 0 {
+		return 0
+	}
+	wait := time.Duration(0)
+	if q.running >= q.slots || ahead > 0 {
+		wait = q.mean * time.Duration(ahead+1) / time.Duration(q.slots)
+	}
+	if cold := q.coldWait(now); cold > 0 {
+		wait = max(wait, cold+time.Duration(float64(ahead)/q.coldRate*float64(time.Second)))
+	}
+	return wait
+}
+
+// Arrive decides on a request. The queue drops none of its own later without an Action.
+func (q *Queue) Arrive(now time.Duration, r Request) (Decision, []Action) {
+	q.trim(now)
+	delay, service := q.delay(now, r.Priority), q.expected(r.Route)
+	end := now + time.Duration(float64(delay+service))
+	switch {
+	case delay == 0 && now < r.Deadline:
+		q.start(now)
+		return Decision{Start: true}, nil
+	case r.Strict && q.cold(now):
+		return Decision{Reason: Cold, After: delay}, nil
+	case r.Strict && end > now+scaled(r.Objective-now):
+		return Decision{Reason: Busy, After: delay}, nil
+	case end > now+scaled(r.Deadline-now):
+		return Decision{Reason: TooLate, After: delay}, nil
+	}
+	var actions []Action
+	if len(q.waiting) >= maxWaiting*q.slots {
+		victim := q.leastUrgent()
+		if q.waiting[victim].Priority <= r.Priority {
+			return Decision{Reason: Busy, After: delay}, nil
+		}
+		actions = append(actions, Action{ID: q.waiting[victim].ID, Reason: Displaced})
+		q.drop(victim)
+	}
+	q.waiting = append(q.waiting, &waiter{Request: r, arrived: now})
+	return Decision{Wait: true}, actions
+}
+
+func scaled(left time.Duration) time.Duration { return time.Duration(float64(left) * tolerance) }
+
+// Abandon takes back a waiting request.
+func (q *Queue) Abandon(id uint64) {
+	for i, w := range q.waiting {
+		if w.ID == id {
+			q.drop(i)
+			return
+		}
+	}
+}
+
+// Finish ends a started request. A latency of 0 is no sample.
+func (q *Queue) Finish(now time.Duration, route string, latency time.Duration) []Action {
+	q.running--
+	if latency > 0 {
+		q.latency[route] = average(q.latency[route], latency)
+		q.mean = average(q.mean, latency)
+	}
+	return q.advance(now)
+}
+
+func average(mean, sample time.Duration) time.Duration {
+	if mean == 0 {
+		return sample
+	}
+	return mean + time.Duration(meanWeight*float64(sample-mean))
+}
+
+// Tick starts or refuses requests whose time has come; Next tells when.
+func (q *Queue) Tick(now time.Duration) []Action { return q.advance(now) }
+
+// Next returns when a cold upstream bears the next waiting request, from now, or 0 when nothing waits for that.
+func (q *Queue) Next(now time.Duration) time.Duration {
+	if len(q.waiting) == 0 || q.running >= q.slots {
+		return 0
+	}
+	return q.coldWait(now)
+}
+
+// Clear refuses all waiting requests, because the upstream leaves or failed.
+func (q *Queue) Clear(reason Reason) []Action {
+	actions := make([]Action, 0, len(q.waiting))
+	for _, w := range q.waiting {
+		actions = append(actions, Action{ID: w.ID, Reason: reason})
+	}
+	q.waiting = nil
+	return actions
+}
+
+// advance starts waiting requests while there is room and refuses those that can no longer end in time.
+func (q *Queue) advance(now time.Duration) []Action {
+	q.trim(now)
+	var actions []Action
+	kept := q.waiting[:0]
+	for _, w := range q.waiting {
+		if now+q.expected(w.Route)/2 >= w.Deadline {
+			actions = append(actions, Action{ID: w.ID, Reason: TooLate})
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+	for len(q.waiting) > 0 && q.free(now) {
+		i := q.pick(now)
+		actions = append(actions, Action{ID: q.waiting[i].ID})
+		q.drop(i)
+		q.start(now)
+	}
+	return actions
+}
+
+// pick returns the request to start next: the most urgent one that can still meet its objective, and the others only
+// when there is none. Without the preference a standing queue makes every request late.
+func (q *Queue) pick(now time.Duration) int {
+	best, bestMeets := -1, false
+	for i, w := range q.waiting {
+		meets := now+q.expected(w.Route) <= w.Objective
+		if best < 0 || (meets && !bestMeets) ||
+			(meets == bestMeets && w.Priority < q.waiting[best].Priority) {
+			best, bestMeets = i, meets
+		}
+	}
+	return best
+}
+
+func (q *Queue) leastUrgent() int {
+	worst := 0
+	for i, w := range q.waiting {
+		if w.Priority >= q.waiting[worst].Priority {
+			worst = i
+		}
+	}
+	return worst
+}
+
+func (q *Queue) drop(i int) { q.waiting = append(q.waiting[:i], q.waiting[i+1:]...) }
+
+func (q *Queue) start(now time.Duration) {
+	q.running++
+	q.starts = append(q.starts, now)
+}
+
+// trim forgets the starts that no longer count.
+func (q *Queue) trim(now time.Duration) {
+	n := 0
+	for n < len(q.starts) && q.starts[n]+coldWindow <= now {
+		n++
+	}
+	q.starts = q.starts[n:]
+}
--- /dev/null
+++ b/pkg/forward/lease.go
@@ -0,0 +1,245 @@
+package forward
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bamboodeal/bamboodeal/decision/allowance"
+	"github.com/bamboodeal/bamboodeal/pkg/mesh"
+	"github.com/bamboodeal/bamboodeal/pkg/peer"
+)
+
+const (
+	leasePath = "/v1/lease"
+	// tokenWait is the longest time that a request waits for its team's allowance; it is small beside the latency
+	// objectives.
+	tokenWait = 150 * time.Millisecond
+	// leaseTimeout bounds one question to a holder.
+	leaseTimeout = 100 * time.Millisecond
+	// holderPause is how long a holder that did not answer is not asked.
+	holderPause = 300 * time.Millisecond
+)
+
+// leaseRequest asks for tokens of a team.
+type leaseRequest struct {
+	Team string `json:"t"`
+	Want int    `json:"w"`
+}
+
+// leaseAnswer grants tokens; with none, RetryMS is when to ask again.
+type leaseAnswer struct {
+	Granted int   `json:"g"`
+	RetryMS int64 `json:"r,omitempty"`
+}
+
+// leases keeps the teams within their limits: as the holder of some and as a borrower of the others.
+type leases struct {
+	o    *Options
+	pool *peer.Pool
+	own  string
+	port string
+
+	holding sync.Mutex
+	buckets *allowance.Buckets
+
+	mu    sync.Mutex
+	teams map[string]*borrowed
+	// silentUntil is when a holder that did not answer is asked again.
+	silentUntil map[string]time.Duration
+}
+
+type borrowed struct {
+	allowance.Borrower
+	waiting []chan bool
+	asking  bool
+}
+
+func newLeases(o *Options, pool *peer.Pool, ownIP, port string) *leases {
+	return &leases{
+		o: o, pool: pool, own: ownIP, port: port, buckets: allowance.NewBuckets(),
+		teams: map[string]*borrowed{}, silentUntil: map[string]time.Duration{},
+	}
+}
+
+// admit reports whether a request of the team is within its limit; it waits a short time for tokens.
+func (l *leases) admit(team *mesh.Team) bool {
+	if team.Rate <= 0 {
+		return true
+	}
+	limit := allowance.Limit{Rate: team.Rate, Burst: team.Burst}
+	now := l.o.Clock.Now()
+	l.mu.Lock()
+	b := l.teams[team.Name]
+	if b == nil {
+		b = &borrowed{}
+		l.teams[team.Name] = b
+	}
+	b.Arrived(now)
+	if len(b.waiting) == 0 && b.Take(now) {
+		l.mu.Unlock()
+		return true
+	}
+	if b.EmptyFor(now) > tokenWait {
+		l.mu.Unlock()
+		return false
+	}
+	result := make(chan bool, 1)
+	b.waiting = append(b.waiting, result)
+	if !b.asking {
+		b.asking = true
+		go l.borrow(team.Name, limit, b)
+	}
+	l.mu.Unlock()
+	timer := time.NewTimer(tokenWait)
+	defer timer.Stop()
+	select {
+	case ok := <-result:
+		return ok
+	case <-timer.C:
+		return l.giveUp(b, result)
+	}
+}
+
+func (l *leases) giveUp(b *borrowed, result chan bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, w := range b.waiting {
+		if w == result {
+			b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
+			return false
+		}
+	}
+	return <-result
+}
+
+// borrow asks the holder until no request of the team waits.
+func (l *leases) borrow(team string, limit allowance.Limit, b *borrowed) {
+	for {
+		now := l.o.Clock.Now()
+		l.mu.Lock()
+		if len(b.waiting) == 0 {
+			b.asking = false
+			l.mu.Unlock()
+			return
+		}
+		want, empty := b.Wants(now, len(b.waiting)), b.EmptyFor(now)
+		l.mu.Unlock()
+		if want == 0 {
+			time.Sleep(empty)
+			continue
+		}
+		got, err := l.ask(now, team, limit, want)
+		l.mu.Lock()
+		if err != nil {
+			l.serveSeparately(limit, b)
+		} else {
+			b.Granted(now, got.Granted, time.Duration(got.RetryMS)*time.Millisecond)
+			l.serve(b)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// serve hands tokens to the waiting requests, the oldest first.
+func (l *leases) serve(b *borrowed) {
+	now := l.o.Clock.Now()
+	for len(b.waiting) > 0 && b.Take(now) {
+		b.waiting[0] <- true
+		b.waiting = b.waiting[1:]
+	}
+}
+
+// serveSeparately decides on all waiting requests by the node's own share.
+func (l *leases) serveSeparately(limit allowance.Limit, b *borrowed) {
+	now, nodes := l.o.Clock.Now(), len(l.o.View().VMs)
+	for _, w := range b.waiting {
+		w <- b.TakeSeparately(now, limit, nodes)
+	}
+	b.waiting = nil
+}
+
+// ask asks the holder of a team for tokens.
+func (l *leases) ask(now time.Duration, team string, limit allowance.Limit, want int) (leaseAnswer, error) {
+	holder := allowance.Holder(team, l.o.View().VMs)
+	if holder == l.own {
+		return l.grant(now, team, limit, want), nil
+	}
+	l.mu.Lock()
+	silent := now < l.silentUntil[holder]
+	l.mu.Unlock()
+	if silent || holder == "" {
+		return leaseAnswer{}, peer.ErrUnresponsive
+	}
+	got, err := l.call(holder, leaseRequest{Team: team, Want: want})
+	if err != nil {
+		l.mu.Lock()
+		l.silentUntil[holder] = now + holderPause
+		l.mu.Unlock()
+		l.o.Log.WithError(err).WithField("team", team).WithField("vm", holder).
+			Warn("the holder of a team's limit did not answer; using the node's own share")
+	}
+	return got, err
+}
+
+func (l *leases) call(holder string, q leaseRequest) (leaseAnswer, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	body, err := json.Marshal(q)
+	if err != nil {
+		return leaseAnswer{}, err
+	}
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetHost("n")
+	req.Header.SetNoDefaultContentType(true)
+	req.SetRequestURI(leasePath)
+	req.SetBody(body)
+	until := time.Now().Add(leaseTimeout)
+	conn, err := l.pool.Connect(peer.Target{Address: holder + l.port}, until, false)
+	if err != nil {
+		return leaseAnswer{}, err
+	}
+	if _, err := conn.Send(req, resp, until, nil); err != nil {
+		return leaseAnswer{}, err
+	}
+	var got leaseAnswer
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return got, errHop
+	}
+	return got, json.Unmarshal(resp.Body(), &got)
+}
+
+// grant gives tokens from a bucket that this node holds.
+func (l *leases) grant(now time.Duration, team string, limit allowance.Limit, want int) leaseAnswer {
+	l.holding.Lock()
+	defer l.holding.Unlock()
+	granted, retry := l.buckets.Lease(now, team, limit, want)
+	return leaseAnswer{Granted: granted, RetryMS: retry.Milliseconds()}
+}
+
+// serveHTTP answers another node.
+func (l *leases) serveHTTP(ctx *fasthttp.RequestCtx) {
+	var q leaseRequest
+	if err := json.Unmarshal(ctx.PostBody(), &q); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	view := l.o.View()
+	if view.Config == nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	var got leaseAnswer
+	if team := view.Config.Team(q.Team); team != nil {
+		got = l.grant(l.o.Clock.Now(), team.Name, allowance.Limit{Rate: team.Rate, Burst: team.Burst}, q.Want)
+	}
+	body, err := json.Marshal(got)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/pkg/forward/recorder.go
@@ -0,0 +1,101 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bamboodeal/bamboodeal/pkg/clock"
+)
+
+const (
+	// plainLinesPerSecond bounds the log lines of served requests; failures have their own budget.
+	plainLinesPerSecond  = 20
+	failedLinesPerSecond = 100
+	// sampleSize and sampleAlpha are the library's own proposal for a sample of about the last five minutes; a
+	// smaller one keeps the memory of many routes low.
+	sampleSize  = 128
+	sampleAlpha = 0.015
+)
+
+// recorder writes one log line for each request within a budget, and counts all of them.
+type recorder struct {
+	clock    clock.Clock
+	log      *logrus.Logger
+	registry metrics.Registry
+
+	mu      sync.Mutex
+	second  int64
+	plain   int
+	failed  int
+	skipped int64
+}
+
+func newRecorder(c clock.Clock, log *logrus.Logger) *recorder {
+	return &recorder{clock: c, log: log, registry: metrics.NewRegistry()}
+}
+
+// ended records the end of a request.
+func (r *recorder) ended(c *call, res result, status int) {
+	now := r.clock.Now()
+	took := now - c.arrived
+	reason := string(res.reason)
+	if res.reason == ReasonNone {
+		reason = "answered"
+	}
+	metrics.GetOrRegisterCounter("requests."+c.service+"."+reason, r.registry).Inc(1)
+	r.histogram("latency_us." + c.service).Update(took.Microseconds())
+	plain := res.reason == ReasonNone && c.asked <= 1
+	if !r.allowed(now, plain) {
+		return
+	}
+	fields := logrus.Fields{
+		"request": c.id, "status": status, "outcome": reason, "took_us": took.Microseconds(), "service": c.service,
+		"asked": c.asked, "sends": c.sends, "upstream": c.to, "priority": c.priority,
+	}
+	if c.route != nil {
+		fields["route"], fields["left_us"] = c.route.Name, (c.deadline - now).Microseconds()
+	}
+	if c.team != nil {
+		fields["team"] = c.team.Name
+	}
+	if c.view.Config != nil {
+		fields["version"] = c.view.Config.Version
+	}
+	if c.asked > 0 {
+		fields["last_reason"], fields["running"], fields["waiting"] = c.last.reason, c.last.load.Running, c.last.load.Waiting
+		fields["slots"], fields["cold"], fields["mean_us"] = c.last.load.Slots, c.last.load.Cold, c.last.load.Mean.Microseconds()
+	}
+	r.log.WithFields(fields).Info("request ended")
+}
+
+func (r *recorder) histogram(name string) metrics.Histogram {
+	if h, ok := r.registry.Get(name).(metrics.Histogram); ok {
+		return h
+	}
+	return metrics.GetOrRegisterHistogram(name, r.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+}
+
+// allowed draws on the budget of lines of the current second.
+func (r *recorder) allowed(now time.Duration, plain bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if second := int64(now / time.Second); second != r.second {
+		if r.skipped > 0 {
+			r.log.WithField("lines", r.skipped).Info("left out log lines of requests above the budget")
+		}
+		r.second, r.plain, r.failed, r.skipped = second, 0, 0, 0
+	}
+	used, budget := &r.failed, failedLinesPerSecond
+	if plain {
+		used, budget = &r.plain, plainLinesPerSecond
+	}
+	if *used >= budget {
+		r.skipped++
+		return false
+	}
+	*used++
+	return true
+}
--- /dev/null
+++ b/pkg/mesh/registry.go
@@ -0,0 +1,231 @@
+package mesh
+
+import (
+	"net"
+	"sort"
+	"time"
+)
+
+const (
+	// lapseGrace is how long the entry of an upstream that is missing when the store is reachable again is still
+	// used: live upstreams register again within about 2 s.
+	lapseGrace = 2500 * time.Millisecond
+	// outageTime without contact to the store counts as an outage; shorter gaps are usual between two watches.
+	outageTime = 1500 * time.Millisecond
+)
+
+// Upstream is one registered upstream.
+type Upstream struct {
+	ID      string
+	Service string
+	// Address is the "IP:port" of the upstream itself, IP that of its VM.
+	Address    string
+	IP         string
+	DataCentre string
+	Slots      int
+	Draining   bool
+	// Cold is how long the upstream stays cold, counted from when the entry was read.
+	Cold time.Duration
+	// Born is the Unix millisecond of the start of this incarnation; Sequence counts its reports.
+	Born     int64
+	Sequence int64
+}
+
+// older reports whether the entry is from before another one of the same upstream.
+func (u *Upstream) older(than *Upstream) bool {
+	if u.Born != than.Born {
+		return u.Born < than.Born
+	}
+	return u.Sequence < than.Sequence
+}
+
+// Change is one change of what the store publishes. Exactly one field is set.
+type Change struct {
+	Config   *Config
+	Upstream *Upstream
+	// Gone is the ID of an upstream whose entry was removed or is not usable.
+	Gone string
+	// Evacuated and Restored name a data centre whose evacuation was requested or taken back.
+	Evacuated string
+	Restored  string
+}
+
+// Contents is everything that the store publishes at one moment.
+type Contents struct {
+	Config    *Config
+	Upstreams []*Upstream
+	Evacuated []string
+}
+
+// View is an immutable picture of the mesh.
+type View struct {
+	// Config is nil until a configuration is known.
+	Config *Config
+	// ByService holds the upstreams of each service, in the order of their IDs.
+	ByService map[string][]*Upstream
+	// VMs are the addresses of all VMs with a registered upstream, sorted.
+	VMs []string
+	// Evacuated are the data centres that get no work.
+	Evacuated map[string]bool
+	// Own is the upstream beside this node, or nil.
+	Own *Upstream
+}
+
+// Registry collects changes into views. It belongs to the control goroutine.
+type Registry struct {
+	ownAddress string
+	config     *Config
+	upstreams  map[string]*entry
+	// newest keeps the last incarnation and report of each ID, also after its entry is removed, so that a report
+	// that arrives late is not taken for a living upstream.
+	newest    map[string]*Upstream
+	evacuated map[string]bool
+	contact   time.Duration
+	returned  time.Duration
+	outage    bool
+}
+
+type entry struct {
+	upstream *Upstream
+	// removeAt is set while a removal waits for the end of lapseGrace.
+	removeAt time.Duration
+}
+
+// NewRegistry returns an empty registry of the node beside the upstream at ownAddress ("IP:port").
+func NewRegistry(ownAddress string) *Registry {
+	return &Registry{
+		ownAddress: ownAddress, upstreams: map[string]*entry{}, newest: map[string]*Upstream{},
+		evacuated: map[string]bool{},
+	}
+}
+
+// Contact notes that the store answered.
+func (r *Registry) Contact(now time.Duration) {
+	if r.contact > 0 && now-r.contact > outageTime {
+		r.returned, r.outage = now, true
+	}
+	r.contact = now
+}
+
+// Age returns how long ago the store last answered.
+func (r *Registry) Age(now time.Duration) time.Duration { return now - r.contact }
+
+// Replace takes the whole contents, after a start or when changes were missed.
+func (r *Registry) Replace(now time.Duration, c Contents) {
+	r.adopt(c.Config)
+	present := map[string]bool{}
+	for _, u := range c.Upstreams {
+		present[u.ID] = true
+		r.put(u)
+	}
+	for id := range r.upstreams {
+		if !present[id] {
+			r.remove(now, id)
+		}
+	}
+	clear(r.evacuated)
+	for _, name := range c.Evacuated {
+		r.evacuated[name] = true
+	}
+}
+
+// Apply takes one change.
+func (r *Registry) Apply(now time.Duration, c Change) {
+	switch {
+	case c.Config != nil:
+		r.adopt(c.Config)
+	case c.Upstream != nil:
+		r.put(c.Upstream)
+	case c.Gone != "":
+		r.remove(now, c.Gone)
+	case c.Evacuated != "":
+		r.evacuated[c.Evacuated] = true
+	case c.Restored != "":
+		delete(r.evacuated, c.Restored)
+	}
+}
+
+// adopt never goes back to an older version, whatever order the answers arrive in.
+func (r *Registry) adopt(c *Config) {
+	if c != nil && (r.config == nil || c.Version > r.config.Version) {
+		r.config = c
+	}
+}
+
+func (r *Registry) put(u *Upstream) {
+	if known := r.newest[u.ID]; known != nil && u.older(known) {
+		return
+	}
+	r.newest[u.ID] = u
+	r.upstreams[u.ID] = &entry{upstream: u}
+}
+
+func (r *Registry) remove(now time.Duration, id string) {
+	e := r.upstreams[id]
+	if e == nil {
+		return
+	}
+	if r.outage && now < r.returned+lapseGrace && !e.upstream.Draining {
+		if e.removeAt == 0 {
+			e.removeAt = r.returned + lapseGrace
+		}
+		return
+	}
+	delete(r.upstreams, id)
+}
+
+// Expire ends the grace of entries that did not come back and reports whether the view changed.
+func (r *Registry) Expire(now time.Duration) bool {
+	changed := false
+	for id, e := range r.upstreams {
+		if e.removeAt > 0 && now >= e.removeAt {
+			delete(r.upstreams, id)
+			changed = true
+		}
+	}
+	if r.outage && now >= r.returned+lapseGrace {
+		r.outage = false
+	}
+	return changed
+}
+
+// View returns the current picture.
+func (r *Registry) View() *View {
+	v := &View{Config: r.config, ByService: map[string][]*Upstream{}, Evacuated: map[string]bool{}}
+	for name := range r.evacuated {
+		v.Evacuated[name] = true
+	}
+	newest := map[string]*Upstream{}
+	for _, e := range r.upstreams {
+		u := e.upstream
+		// An address serves one upstream at a time: the one that started last.
+		if other := newest[u.Address]; other == nil || other.Born < u.Born || (other.Born == u.Born && other.ID < u.ID) {
+			newest[u.Address] = u
+		}
+	}
+	vms := map[string]bool{}
+	for address, u := range newest {
+		v.ByService[u.Service] = append(v.ByService[u.Service], u)
+		vms[u.IP] = true
+		if address == r.ownAddress {
+			v.Own = u
+		}
+	}
+	for _, list := range v.ByService {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	for ip := range vms {
+		v.VMs = append(v.VMs, ip)
+	}
+	sort.Strings(v.VMs)
+	return v
+}
+
+// SplitIP returns the IP of an "IP:port" address, or an empty text.
+func SplitIP(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return ""
+	}
+	return host
+}
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"net"
 	"os"
@@ -23,6 +24,12 @@
 // maxInterimResponses bounds the 1xx responses before the final one.
 const maxInterimResponses = 8
 
+// maxForeignResponses bounds the responses to other requests that are skipped before the one that is awaited.
+const maxForeignResponses = 3
+
+// keepAliveShare is the part, in percent, of the announced idle time for which a connection is reused.
+const keepAliveShare = 80
+
 // watchInterval is how often a waiting call checks that its caller is still connected.
 const watchInterval = 50 * time.Millisecond
 
@@ -56,12 +63,16 @@
 	lastUsed time.Duration
 	// answeredAt is when the last whole answer came.
 	answeredAt time.Duration
-	hello      wire.Hello
-	probe      *probe
+	// keepAlive is how long the other side keeps the connection idle.
+	keepAlive time.Duration
+	// spoiled connections are not used again.
+	spoiled bool
+	hello   wire.Hello
+	probe   *probe
 }
 
 func newConn(p *Pool, address string, raw net.Conn) *Conn {
-	c := &Conn{pool: p, address: address, raw: raw, probe: newProbe(raw)}
+	c := &Conn{pool: p, address: address, raw: raw, probe: newProbe(raw), keepAlive: p.o.IdleTimeout}
 	c.r = bufio.NewReaderSize(raw, readBufferSize)
 	c.w = bufio.NewWriterSize(counter{c}, writeBufferSize)
 	return c
@@ -100,24 +111,56 @@
 			return err
 		}
 	}
-	if err := readResponse(c.r, resp, req.Header.IsHead(), limit); err != nil {
+	if err := c.readAnswer(req, resp, limit); err != nil {
 		return err
 	}
+	c.noteKeepAlive(resp)
 	if c.r.Buffered() > 0 {
 		// An answer to no request of ours: the next caller would take it for its own.
-		return ErrUnsolicited
+		if c.pool.o.Answers == nil {
+			return ErrUnsolicited
+		}
+		c.spoiled = true
 	}
 	c.answeredAt = c.pool.o.Clock.Now()
 	return nil
 }
 
+// readAnswer reads responses until one belongs to the request.
+func (c *Conn) readAnswer(req *fasthttp.Request, resp *fasthttp.Response, limit int) error {
+	for n := 0; ; n++ {
+		if err := readResponse(c.r, resp, req.Header.IsHead(), limit, c.pool.o.ReadToClose); err != nil {
+			return err
+		}
+		if c.pool.o.Answers == nil || c.pool.o.Answers(req, resp) {
+			return nil
+		}
+		if n >= maxForeignResponses || resp.ConnectionClose() {
+			return ErrUnsolicited
+		}
+	}
+}
+
+// noteKeepAlive takes the time for which the other side keeps the connection, less a part for the way.
+func (c *Conn) noteKeepAlive(resp *fasthttp.Response) {
+	value := resp.Header.Peek("Keep-Alive")
+	_, after, found := bytes.Cut(value, []byte("timeout="))
+	if !found {
+		return
+	}
+	after, _, _ = bytes.Cut(after, []byte{','})
+	if n, err := fasthttp.ParseUint(bytes.TrimSpace(after)); err == nil {
+		c.keepAlive = time.Duration(n) * time.Second * keepAliveShare / 100
+	}
+}
+
 // awaitFirstByte waits in slices, so that a caller that disconnects or a node that stops running is noticed without
 // another goroutine.
 func (c *Conn) awaitFirstByte(deadline time.Time, caller Caller) error {
 	probeAfter := firstProbe
 	probeAt := time.Now().Add(probeAfter)
 	for {
-		slice := time.Now().Add(watchInterval)
+		slice := time.Now().Add(c.pool.o.WatchInterval)
 		last := !slice.Before(deadline)
 		if last {
 			slice = deadline
@@ -151,7 +194,7 @@
 }
 
 // readResponse reads a final response whose whole body is known to have arrived.
-func readResponse(r *bufio.Reader, resp *fasthttp.Response, head bool, limit int) error {
+func readResponse(r *bufio.Reader, resp *fasthttp.Response, head bool, limit int, toClose bool) error {
 	resp.SkipBody = head
 	// A body left by an earlier attempt must not follow a response without one.
 	resp.ResetBody()
@@ -169,7 +212,7 @@
 	if head || resp.StatusCode() == fasthttp.StatusNoContent || resp.StatusCode() == fasthttp.StatusNotModified {
 		return nil
 	}
-	if resp.Header.ContentLength() == -2 {
+	if resp.Header.ContentLength() == -2 && !toClose {
 		// A body that ends with the connection looks the same when it is cut short.
 		return ErrUndelimited
 	}
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/bamboodeal/bamboodeal/api/wire"
 	"github.com/bamboodeal/bamboodeal/pkg/clock"
@@ -34,6 +36,10 @@
 	// helloAge is how old the last answer on a connection may be when a call is sent that may run only once. It is
 	// a quarter of the time for which a stopping node says so before it closes its connections.
 	helloAge = 500 * time.Millisecond
+	// keepAliveTime and keepAliveProbes bound how long a connection that went silent is taken for usable. Whole
+	// seconds are the finest that the system takes.
+	keepAliveTime   = time.Second
+	keepAliveProbes = 2
 	// maxPeerConnections bounds the connections to one node.
 	maxPeerConnections = 128
 	// MaxResponseBytes is the largest response body that is carried.
@@ -66,6 +72,16 @@
 	Limit func() int
 	// OnHello is told of each hello; it may be nil.
 	OnHello func(address string, hello *wire.Hello)
+	// Answers reports whether a response belongs to the request. Others are skipped, because a response may arrive
+	// late on a connection that another request uses now, and bytes after a response that belongs only cost the
+	// connection. When it is nil, every response belongs and such bytes spoil the exchange.
+	Answers func(req *fasthttp.Request, resp *fasthttp.Response) bool
+	// ReadToClose accepts a body that ends with an orderly close of the connection.
+	ReadToClose bool
+	// WatchInterval is how often a waiting call checks that its caller is still connected; 0 means 50 ms.
+	WatchInterval time.Duration
+	// UnackedTimeout closes a connection whose bytes the other side does not acknowledge; 0 leaves it to the system.
+	UnackedTimeout time.Duration
 }
 
 // Pool holds connections, each with at most one request at a time. It never repeats a request.
@@ -94,6 +110,16 @@
 		o.Limit = func() int { return maxPeerConnections }
 	}
 	p := &Pool{o: o, hosts: map[string]*host{}}
+	if o.WatchInterval == 0 {
+		o.WatchInterval = watchInterval
+	}
+	p.o = o
+	if o.UnackedTimeout > 0 {
+		p.dial.Control = unackedTimeout(o.UnackedTimeout)
+		p.dial.KeepAliveConfig = net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveProbes,
+		}
+	}
 	if o.DialAddress.IsValid() {
 		p.dial.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(o.DialAddress, 0))
 	}
@@ -132,7 +158,7 @@
 // usable checks an idle connection.
 func (p *Pool) usable(c *Conn, t Target, deadline time.Time, needEpoch bool) bool {
 	now := p.o.Clock.Now()
-	if now-c.lastUsed >= p.o.IdleTimeout || c.r.Buffered() > 0 || !c.probe.usable() {
+	if now-c.lastUsed >= min(p.o.IdleTimeout, c.keepAlive) || c.r.Buffered() > 0 || !c.probe.usable() {
 		return false
 	}
 	if !needEpoch || (c.hello.Epoch != "" && now-c.answeredAt <= helloAge) {
@@ -164,7 +190,7 @@
 	}
 	err := c.exchange(req, resp, deadline, caller, MaxResponseBytes)
 	if err == nil {
-		if resp.ConnectionClose() {
+		if resp.ConnectionClose() || c.spoiled {
 			p.drop(c)
 		} else {
 			p.put(c)
@@ -355,6 +381,17 @@
 	h.idle = kept
 }
 
+// unackedTimeout sets the time after which the system gives a connection up whose bytes are not acknowledged.
+func unackedTimeout(after time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	}
+}
+
 // Forget closes all idle connections to an address, so that the next call starts with a new hello.
 func (p *Pool) Forget(address string) { p.closeIdle(address, p.o.Clock.Now()) }
 
