--- a/cmd/bamboodeal-sidecar/main.go
+++ b/cmd/bamboodeal-sidecar/main.go
@@ -80,6 +80,7 @@
 		func(v *mesh.View) { node.ViewChanged(v) })
 	node, err := forward.New(forward.Options{
 		Settings: s.Node, Headers: platform.Headers, Clock: c, Log: log, View: maintainer.View,
+		StoreAge: maintainer.StoreAge,
 	})
 	if err != nil {
 		return err
--- a/decision/allowance/allowance.go
+++ b/decision/allowance/allowance.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,10 +20,10 @@
 	aheadTime = 500 * time.Millisecond
 	// demandWeight is the weight of a new sample in the demand of a team.
 	demandWeight = 0.2
-	// separateShare is the part of the equal share of a rate that a node uses while it does not reach the holder.
-	// All nodes of one side of a partition together then stay below the rate, and the two sides below the
-	// tolerance of the limit.
-	separateShare = 0.7
+	// separateShare is the part of the equal share of a rate that a node uses while it does not reach the holder. The
+	// holder grants the whole rate to the nodes that reach it, even if it is alone on its side of a partition, so
+	// the others together have to stay within the tolerance of the limit, which is a quarter.
+	separateShare = 0.2
 	// minRetry is the shortest time after which an empty bucket is asked again.
 	minRetry = 50 * time.Millisecond
 )
@@ -33,16 +34,24 @@
 	Burst float64
 }
 
-// Holder returns the VM that holds the bucket of a team: the highest rendezvous hash, so that a VM that leaves moves
-// only its own teams.
-func Holder(team string, vms []string) string {
-	best, highest := "", uint64(0)
+// Holders returns the VMs in the order in which they hold the bucket of a team: by descending rendezvous hash, so that
+// a VM that leaves moves only its own teams.
+func Holders(team string, vms []string) []string {
+	ranked := make([]holder, 0, len(vms))
 	for _, vm := range vms {
-		if h := xxhash.Sum64String(vm + "/" + team); best == "" || h > highest {
-			best, highest = vm, h
-		}
+		ranked = append(ranked, holder{vm, xxhash.Sum64String(vm + "/" + team)})
 	}
-	return best
+	sort.Slice(ranked, func(i, j int) bool { return ranked[i].hash > ranked[j].hash })
+	names := make([]string, 0, len(vms))
+	for _, h := range ranked {
+		names = append(names, h.vm)
+	}
+	return names
+}
+
+type holder struct {
+	vm   string
+	hash uint64
 }
 
 // Buckets are the buckets that a node holds. It is not safe for concurrent use.
--- /dev/null
+++ b/decision/allowance/allowance_test.go
@@ -0,0 +1,149 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Bounds of the deployments: in any window, a team may run at most (rate x window + burst) x (1 + over) + slack.
+const (
+	window = 5 * time.Second
+	over   = 0.25
+	slack  = 20
+)
+
+// fleet plays the nodes of a mesh in steps of virtual time. The nodes below cut do not reach the others.
+type fleet struct {
+	limit    Limit
+	nodes    []*Borrower
+	holder   int
+	cut      int
+	buckets  *Buckets
+	admitted []time.Duration
+}
+
+func newFleet(nodes, holder, cut int, limit Limit) *fleet {
+	f := &fleet{limit: limit, holder: holder, cut: cut, buckets: NewBuckets()}
+	for range nodes {
+		f.nodes = append(f.nodes, &Borrower{})
+	}
+	return f
+}
+
+func (f *fleet) reaches(node int) bool { return (node < f.cut) == (f.holder < f.cut) }
+
+// arrive is a request at a node; a request that gets no token is refused.
+func (f *fleet) arrive(now time.Duration, node int) {
+	b := f.nodes[node]
+	b.Arrived(now)
+	ok := b.Take(now)
+	switch {
+	case ok:
+	case f.reaches(node):
+		if want := b.Wants(now, 1); want > 0 {
+			granted, retry := f.buckets.Lease(now, "team", f.limit, want)
+			b.Granted(now, granted, retry)
+			ok = b.Take(now)
+		}
+	default:
+		ok = b.TakeSeparately(now, f.limit, len(f.nodes))
+	}
+	if ok {
+		f.admitted = append(f.admitted, now)
+	}
+}
+
+// run lets every node receive perNode requests a second.
+func (f *fleet) run(from, until time.Duration, perNode float64) {
+	step := time.Duration(float64(time.Second) / perNode)
+	for now := from; now < until; now += step {
+		for i := range f.nodes {
+			f.arrive(now, i)
+		}
+	}
+}
+
+// most returns the largest number of admissions in a window.
+func (f *fleet) most() int {
+	most, first := 0, 0
+	for i, at := range f.admitted {
+		for at-f.admitted[first] >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func (f *fleet) bound() float64 {
+	return (f.limit.Rate*window.Seconds()+f.limit.Burst)*(1+over) + slack
+}
+
+var usual = Limit{Rate: 82, Burst: 82}
+
+// A team that sends many times its rate while some VMs are cut off must stay below its limit over both sides
+// together, on whichever side the holder is.
+func TestBothSidesOfAPartitionStayWithinTheLimit(t *testing.T) {
+	for name, holder := range map[string]int{"holder with the majority": 11, "holder cut off": 0} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(12, holder, 4, usual)
+			f.run(time.Second, 8*time.Second, 5)
+			f.run(8*time.Second, 20*time.Second, 60)
+			g.Expect(float64(f.most())).To(BeNumerically("<=", f.bound()))
+		})
+	}
+}
+
+// A team below its rate is not refused, however its requests are spread.
+func TestATeamBelowItsRateIsAdmitted(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(12, 3, 0, usual)
+	perNode := 0.6 * usual.Rate / 12
+	f.run(time.Second, 31*time.Second, perNode)
+	sent := int(30 * perNode * 12)
+	g.Expect(len(f.admitted)).To(BeNumerically(">=", sent*98/100))
+}
+
+// A team over its rate still gets its rate.
+func TestATeamOverItsRateGetsItsRate(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(12, 3, 0, usual)
+	f.run(time.Second, 31*time.Second, 60)
+	g.Expect(float64(len(f.admitted))).To(BeNumerically(">=", 0.97*usual.Rate*30))
+	g.Expect(float64(f.most())).To(BeNumerically("<=", f.bound()))
+}
+
+// All holders restart at once, twice within a window: an empty bucket never gives a second burst.
+func TestRestartsGiveNoSecondBurst(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(12, 3, 0, usual)
+	for i := range 4 {
+		from := time.Duration(1+2*i) * time.Second
+		f.buckets = NewBuckets()
+		for n := range f.nodes {
+			f.nodes[n] = &Borrower{}
+		}
+		f.run(from, from+2*time.Second, 60)
+	}
+	g.Expect(float64(f.most())).To(BeNumerically("<=", f.bound()))
+}
+
+// The holder of a team stays the same when another VM leaves.
+func TestOnlyTheTeamsOfALeavingVMMove(t *testing.T) {
+	g := NewWithT(t)
+	vms := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"}
+	for _, team := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		ranked := Holders(team, vms)
+		g.Expect(ranked).To(ConsistOf(vms))
+		rest := make([]string, 0, len(vms))
+		for _, vm := range vms {
+			if vm != ranked[0] {
+				rest = append(rest, vm)
+			}
+		}
+		g.Expect(Holders(team, rest)).To(Equal(ranked[1:]))
+	}
+}
--- a/pkg/forward/lease.go
+++ b/pkg/forward/lease.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -27,6 +29,8 @@
 type leaseRequest struct {
 	Team string `json:"t"`
 	Want int    `json:"w"`
+	// InTouch says that the sender is in contact with the platform's store.
+	InTouch bool `json:"i,omitempty"`
 }
 
 // leaseAnswer grants tokens; with none, RetryMS is when to ask again.
@@ -42,8 +46,9 @@
 	own  string
 	port string
 
-	holding sync.Mutex
-	buckets *allowance.Buckets
+	holding  sync.Mutex
+	buckets  *allowance.Buckets
+	standing *allowance.Standing
 
 	mu    sync.Mutex
 	teams map[string]*borrowed
@@ -60,7 +65,8 @@
 func newLeases(o *Options, pool *peer.Pool, ownIP, port string) *leases {
 	return &leases{
 		o: o, pool: pool, own: ownIP, port: port, buckets: allowance.NewBuckets(),
-		teams: map[string]*borrowed{}, silentUntil: map[string]time.Duration{},
+		standing: allowance.NewStanding(),
+		teams:    map[string]*borrowed{}, silentUntil: map[string]time.Duration{},
 	}
 }
 
@@ -161,27 +167,40 @@
 	b.waiting = nil
 }
 
-// ask asks the holder of a team for tokens.
+// ask asks the holder of a team for tokens. A VM that refuses the connection runs no node and grants nothing, so the
+// next holder in the order takes its place; one that does not answer may still grant to others.
 func (l *leases) ask(now time.Duration, team string, limit allowance.Limit, want int) (leaseAnswer, error) {
-	holder := allowance.Holder(team, l.o.View().VMs)
-	if holder == l.own {
-		return l.grant(now, team, limit, want), nil
-	}
-	l.mu.Lock()
-	silent := now < l.silentUntil[holder]
-	l.mu.Unlock()
-	if silent || holder == "" {
-		return leaseAnswer{}, peer.ErrUnresponsive
-	}
-	got, err := l.call(holder, leaseRequest{Team: team, Want: want})
-	if err != nil {
+	for _, holder := range allowance.Holders(team, l.o.View().VMs) {
+		if holder == l.own {
+			return l.grant(now, team, limit, want), nil
+		}
 		l.mu.Lock()
-		l.silentUntil[holder] = now + holderPause
+		silent := now < l.silentUntil[holder]
 		l.mu.Unlock()
-		l.o.Log.WithError(err).WithField("team", team).WithField("vm", holder).
-			Warn("the holder of a team's limit did not answer; using the node's own share")
+		if silent {
+			return leaseAnswer{}, peer.ErrUnresponsive
+		}
+		got, err := l.call(holder, leaseRequest{
+			Team: team, Want: want, InTouch: l.o.StoreAge() < allowance.LapseTime,
+		})
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			continue
+		}
+		if err != nil {
+			l.silence(now, team, holder, err)
+		}
+		return got, err
 	}
-	return got, err
+	return leaseAnswer{}, peer.ErrUnresponsive
+}
+
+// silence pauses the questions to a holder that did not answer.
+func (l *leases) silence(now time.Duration, team, holder string, err error) {
+	l.mu.Lock()
+	l.silentUntil[holder] = now + holderPause
+	l.mu.Unlock()
+	l.o.Log.WithError(err).WithField("team", team).WithField("vm", holder).
+		Warn("the holder of a team's limit did not answer; using the node's own share")
 }
 
 func (l *leases) call(holder string, q leaseRequest) (leaseAnswer, error) {
@@ -216,6 +235,9 @@
 func (l *leases) grant(now time.Duration, team string, limit allowance.Limit, want int) leaseAnswer {
 	l.holding.Lock()
 	defer l.holding.Unlock()
+	if !l.standing.Whole(now, l.o.StoreAge(), l.own, l.o.View().VMs) {
+		limit = limit.Reduced()
+	}
 	granted, retry := l.buckets.Lease(now, team, limit, want)
 	return leaseAnswer{Granted: granted, RetryMS: retry.Milliseconds()}
 }
@@ -232,6 +254,9 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
+	l.holding.Lock()
+	l.standing.Asked(l.o.Clock.Now(), ctx.RemoteIP().String(), q.InTouch)
+	l.holding.Unlock()
 	var got leaseAnswer
 	if team := view.Config.Team(q.Team); team != nil {
 		got = l.grant(l.o.Clock.Now(), team.Name, allowance.Limit{Rate: team.Rate, Burst: team.Burst}, q.Want)
--- a/pkg/forward/options.go
+++ b/pkg/forward/options.go
@@ -69,4 +69,6 @@
 	Log      *logrus.Logger
 	// View returns the current view of the mesh; it never returns nil.
 	View func() *mesh.View
+	// StoreAge returns how long ago the platform's store last answered this node.
+	StoreAge func() time.Duration
 }
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -34,6 +34,8 @@
 	registry *Registry
 	view     atomic.Pointer[View]
 	onView   func(*View)
+	// contact is when the store last answered, on the clock.
+	contact  atomic.Int64
 	loaded   bool
 	revision uint64
 	lost     bool
@@ -50,6 +52,9 @@
 // View returns the current view; it is never nil.
 func (m *Maintainer) View() *View { return m.view.Load() }
 
+// StoreAge returns how long ago the store last answered.
+func (m *Maintainer) StoreAge() time.Duration { return m.clock.Now() - time.Duration(m.contact.Load()) }
+
 // answer is the outcome of one call to the store.
 type answer struct {
 	contents *Contents
@@ -106,17 +111,18 @@
 	if errors.Is(a.err, ErrHistoryLost) {
 		m.log.WithField("revision", m.revision).Warn("the store discarded its history; loading all contents")
 		m.loaded = false
-		m.registry.Contact(now)
+		m.answered(now)
 		return true
 	}
 	if a.err != nil {
+		m.registry.Lost()
 		if !m.lost {
 			m.lost = true
 			m.log.WithError(a.err).WithField("revision", m.revision).Warn("lost the store; serving on the last view")
 		}
 		return false
 	}
-	m.registry.Contact(now)
+	m.answered(now)
 	if m.lost {
 		m.lost = false
 		m.log.WithField("revision", a.revision).Info("the store answers again")
@@ -137,6 +143,11 @@
 	return true
 }
 
+func (m *Maintainer) answered(now time.Duration) {
+	m.registry.Contact(now)
+	m.contact.Store(int64(now))
+}
+
 // publish makes the registry's state visible to the traffic goroutines.
 func (m *Maintainer) publish() {
 	next, last := m.registry.View(), m.view.Load()
--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -6,13 +6,9 @@
 	"time"
 )
 
-const (
-	// lapseGrace is how long the entry of an upstream that is missing when the store is reachable again is still
-	// used: live upstreams register again within about 2 s.
-	lapseGrace = 2500 * time.Millisecond
-	// outageTime without contact to the store counts as an outage; shorter gaps are usual between two watches.
-	outageTime = 1500 * time.Millisecond
-)
+// lapseGrace is how long the entry of an upstream that is missing when the store is reachable again is still used: live
+// upstreams register again within about 2 s.
+const lapseGrace = 2500 * time.Millisecond
 
 // Upstream is one registered upstream.
 type Upstream struct {
@@ -80,9 +76,10 @@
 	// that arrives late is not taken for a living upstream.
 	newest    map[string]*Upstream
 	evacuated map[string]bool
-	contact   time.Duration
-	returned  time.Duration
-	outage    bool
+	// lost is true from a failed call until the next answer, outage from then until the end of lapseGrace.
+	lost     bool
+	outage   bool
+	returned time.Duration
 }
 
 type entry struct {
@@ -99,17 +96,16 @@
 	}
 }
 
+// Lost notes that a call to the store failed.
+func (r *Registry) Lost() { r.lost = true }
+
 // Contact notes that the store answered.
 func (r *Registry) Contact(now time.Duration) {
-	if r.contact > 0 && now-r.contact > outageTime {
-		r.returned, r.outage = now, true
+	if r.lost {
+		r.lost, r.outage, r.returned = false, true, now
 	}
-	r.contact = now
 }
 
-// Age returns how long ago the store last answered.
-func (r *Registry) Age(now time.Duration) time.Duration { return now - r.contact }
-
 // Replace takes the whole contents, after a start or when changes were missed.
 func (r *Registry) Replace(now time.Duration, c Contents) {
 	r.adopt(c.Config)
--- /dev/null
+++ b/pkg/mesh/registry_test.go
@@ -0,0 +1,102 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const own = "10.0.0.1:80"
+
+func upstream(id string, born, sequence int64) *Upstream {
+	return &Upstream{ID: id, Service: "s", Address: own, IP: "10.0.0.1", Slots: 4, Born: born, Sequence: sequence}
+}
+
+// A removal has to act at once: an upstream that leaves without a notice serves only for a short time after it.
+func TestRemovalActsAtOnceAfterAQuietTime(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry(own)
+	r.Contact(time.Second)
+	r.Apply(0, Change{Upstream: upstream("a", 1, 1)})
+	// A watch without changes answers after its whole wait, which is no outage.
+	now := time.Second + watchWait
+	r.Contact(now)
+	r.Apply(now, Change{Gone: "a"})
+	g.Expect(r.View().Own).To(BeNil())
+}
+
+// Entries that lapse while the store is away come back within about 2 s; until then their upstreams are used.
+func TestLapsedEntriesAreUsedUntilTheyAreBack(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry(own)
+	r.Contact(0)
+	r.Apply(0, Change{Upstream: upstream("a", 1, 1)})
+	r.Lost()
+	now := 5 * time.Second
+	r.Contact(now)
+	r.Replace(now, Contents{})
+	g.Expect(r.View().Own).NotTo(BeNil())
+	g.Expect(r.Expire(now + lapseGrace - 1)).To(BeFalse())
+	r.Apply(now+time.Second, Change{Upstream: upstream("a", 1, 9)})
+	g.Expect(r.Expire(now + lapseGrace)).To(BeFalse())
+	g.Expect(r.View().Own).NotTo(BeNil())
+}
+
+func TestLapsedEntriesThatStayAwayAreRemoved(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry(own)
+	r.Contact(0)
+	r.Apply(0, Change{Upstream: upstream("a", 1, 1)})
+	r.Lost()
+	r.Contact(5 * time.Second)
+	r.Replace(5*time.Second, Contents{})
+	g.Expect(r.Expire(5*time.Second + lapseGrace)).To(BeTrue())
+	g.Expect(r.View().Own).To(BeNil())
+}
+
+// A report that was written before a restart under the same ID names an upstream that is gone.
+func TestLateReportsOfAnEarlierIncarnationAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry(own)
+	r.Apply(0, Change{Upstream: upstream("a", 2, 1)})
+	late := upstream("a", 1, 50)
+	late.Draining = true
+	r.Apply(0, Change{Upstream: late})
+	g.Expect(r.View().Own.Draining).To(BeFalse())
+	r.Apply(0, Change{Gone: "a"})
+	r.Apply(0, Change{Upstream: late})
+	g.Expect(r.View().Own).To(BeNil())
+}
+
+// The answers of the store may cross; a node must not go back to an older version.
+func TestVersionsNeverGoBack(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry(own)
+	r.Apply(0, Change{Config: &Config{Version: 7}})
+	r.Apply(0, Change{Config: &Config{Version: 6}})
+	r.Replace(0, Contents{Config: &Config{Version: 5}})
+	g.Expect(r.View().Config.Version).To(Equal(uint64(7)))
+}
+
+// An address that was assigned again belongs to the upstream that started last.
+func TestAnAddressBelongsToTheUpstreamThatStartedLast(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry(own)
+	r.Apply(0, Change{Upstream: upstream("new", 9, 1)})
+	r.Apply(0, Change{Upstream: upstream("old", 3, 70)})
+	g.Expect(r.View().Own.ID).To(Equal("new"))
+	g.Expect(r.View().ByService["s"]).To(HaveLen(1))
+}
+
+func TestAnEvacuationLastsUntilItIsTakenBack(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry(own)
+	r.Replace(0, Contents{Evacuated: []string{"north"}})
+	g.Expect(r.View().Evacuated["north"]).To(BeTrue())
+	r.Apply(0, Change{Restored: "north"})
+	g.Expect(r.View().Evacuated["north"]).To(BeFalse())
+	r.Apply(0, Change{Evacuated: "south"})
+	r.Replace(0, Contents{})
+	g.Expect(r.View().Evacuated).To(BeEmpty())
+}
