--- a/cmd/bamboodeal-sidecar/main.go
+++ b/cmd/bamboodeal-sidecar/main.go
@@ -76,11 +76,16 @@
 	log.WithFields(logrus.Fields{"vm": s.Node.VM, "service": s.Node.Service, "version": version}).Info("starting")
 	c := clock.System()
 	var node *forward.Node
-	maintainer := mesh.NewMaintainer(platform.NewStore(s.Store, log), s.Node.UpstreamAddress, c, log,
-		func(v *mesh.View) { node.ViewChanged(v) })
+	store := platform.NewStore(s.Store, log)
+	maintainer := mesh.NewMaintainer(mesh.MaintainerOptions{
+		VM: mesh.SplitIP(s.Node.PeerAddress), DataCentre: s.Node.DataCentre, UpstreamAddress: s.Node.UpstreamAddress,
+		Store: store, Decode: store.Decode, Clock: c, Log: log,
+		Peer:   func(vm string) mesh.Source { return node.Reader(vm) },
+		OnView: func(v *mesh.View) { node.ViewChanged(v) },
+	})
 	node, err := forward.New(forward.Options{
 		Settings: s.Node, Headers: platform.Headers, Clock: c, Log: log, View: maintainer.View,
-		StoreAge: maintainer.StoreAge,
+		StoreAge: maintainer.StoreAge, Feed: maintainer.Serve,
 	})
 	if err != nil {
 		return err
--- a/pkg/forward/lease.go
+++ b/pkg/forward/lease.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"encoding/json"
 	"errors"
 	"sync"
 	"syscall"
@@ -204,31 +203,8 @@
 }
 
 func (l *leases) call(holder string, q leaseRequest) (leaseAnswer, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	body, err := json.Marshal(q)
-	if err != nil {
-		return leaseAnswer{}, err
-	}
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.Header.SetHost("n")
-	req.Header.SetNoDefaultContentType(true)
-	req.SetRequestURI(leasePath)
-	req.SetBody(body)
-	until := time.Now().Add(leaseTimeout)
-	conn, err := l.pool.Connect(peer.Target{Address: holder + l.port}, until, false)
-	if err != nil {
-		return leaseAnswer{}, err
-	}
-	if _, err := conn.Send(req, resp, until, nil); err != nil {
-		return leaseAnswer{}, err
-	}
 	var got leaseAnswer
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return got, errHop
-	}
-	return got, json.Unmarshal(resp.Body(), &got)
+	return got, exchange(l.pool, holder+l.port, leasePath, q, &got, leaseTimeout)
 }
 
 // grant gives tokens from a bucket that this node holds.
@@ -245,8 +221,7 @@
 // serveHTTP answers another node.
 func (l *leases) serveHTTP(ctx *fasthttp.RequestCtx) {
 	var q leaseRequest
-	if err := json.Unmarshal(ctx.PostBody(), &q); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	if !readBody(ctx, &q) {
 		return
 	}
 	view := l.o.View()
@@ -261,10 +236,5 @@
 	if team := view.Config.Team(q.Team); team != nil {
 		got = l.grant(l.o.Clock.Now(), team.Name, allowance.Limit{Rate: team.Rate, Burst: team.Burst}, q.Want)
 	}
-	body, err := json.Marshal(got)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetBody(body)
+	writeBody(ctx, got)
 }
--- a/pkg/forward/node.go
+++ b/pkg/forward/node.go
@@ -193,11 +193,14 @@
 func (n *Node) handlePeer(ctx *fasthttp.RequestCtx) {
 	header := ctx.Request.Header.Peek(hopHeader)
 	if len(header) == 0 {
-		if string(ctx.Path()) == leasePath {
+		switch string(ctx.Path()) {
+		case leasePath:
 			n.leases.serveHTTP(ctx)
-			return
+		case feedPath:
+			n.serveFeed(ctx)
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
 	a := answer{outcome: notRun, reason: Malformed}
--- a/pkg/forward/options.go
+++ b/pkg/forward/options.go
@@ -71,4 +71,6 @@
 	View func() *mesh.View
 	// StoreAge returns how long ago the platform's store last answered this node.
 	StoreAge func() time.Duration
+	// Feed returns what the store changed after a revision, for nodes that follow this one.
+	Feed func(after uint64, wait time.Duration) mesh.Delta
 }
--- /dev/null
+++ b/pkg/mesh/feed_test.go
@@ -0,0 +1,66 @@
+package mesh
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func written(key, value string, revision uint64) Entry {
+	return Entry{Key: key, Value: value, Revision: revision}
+}
+
+// Versions in quick succession filled the links of small VMs when a follower got each of them.
+func TestAFollowerGetsOnlyTheNewestVersionOfAnEntry(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFeed()
+	f.Apply(Delta{Entries: []Entry{written("config", "1", 1), written("config", "2", 2), written("a", "x", 3)}, Revision: 3})
+	f.Apply(Delta{Entries: []Entry{written("config", "3", 4)}, Revision: 4})
+	d := f.Since(1)
+	g.Expect(d.Entries).To(ConsistOf(written("config", "3", 4), written("a", "x", 3)))
+	g.Expect(d.Full).To(BeFalse())
+	g.Expect(d.Revision).To(Equal(uint64(4)))
+}
+
+func TestAFollowerLearnsOfRemovals(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFeed()
+	f.Apply(Delta{Entries: []Entry{written("a", "x", 1), written("b", "y", 2)}, Revision: 2})
+	f.Apply(Delta{Entries: []Entry{{Key: "a", Revision: 3, Removed: true}}, Revision: 3})
+	g.Expect(f.Since(2).Entries).To(ConsistOf(Entry{Key: "a", Revision: 3, Removed: true}))
+	g.Expect(f.Since(0).Entries).To(ConsistOf(written("b", "y", 2)))
+	g.Expect(f.Since(0).Full).To(BeTrue())
+}
+
+// The store discarded its history: entries that are missing in the new contents are gone.
+func TestFullContentsRemoveWhatTheyDoNotList(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFeed()
+	f.Apply(Delta{Entries: []Entry{written("a", "x", 1), written("b", "y", 2)}, Revision: 2})
+	changed := f.Apply(Delta{Entries: []Entry{written("b", "y", 2)}, Revision: 9, Full: true})
+	g.Expect(changed).To(ConsistOf(Entry{Key: "a", Revision: 9, Removed: true}))
+	g.Expect(f.Since(2).Entries).To(ConsistOf(Entry{Key: "a", Revision: 9, Removed: true}))
+}
+
+// A reader that is behind must not bring back what a newer source removed.
+func TestAnOlderSourceChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFeed()
+	f.Apply(Delta{Entries: []Entry{written("a", "2", 5)}, Revision: 5})
+	f.Apply(Delta{Entries: []Entry{{Key: "b", Revision: 6, Removed: true}}, Revision: 6})
+	g.Expect(f.Apply(Delta{Entries: []Entry{written("a", "1", 3)}, Revision: 4})).To(BeEmpty())
+	g.Expect(f.Apply(Delta{Entries: []Entry{written("b", "old", 2)}, Revision: 4, Full: true})).To(BeEmpty())
+	g.Expect(f.Revision()).To(Equal(uint64(6)))
+}
+
+func TestAFollowerThatIsFarBehindGetsEverything(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFeed()
+	for i := range keptRemovals + 2 {
+		revision := uint64(2 * (i + 1))
+		f.Apply(Delta{Entries: []Entry{written("a", "x", revision)}, Revision: revision})
+		f.Apply(Delta{Entries: []Entry{{Key: "a", Revision: revision + 1, Removed: true}}, Revision: revision + 1})
+	}
+	g.Expect(f.Since(1).Full).To(BeTrue())
+	g.Expect(f.Since(f.Revision() - 2).Full).To(BeFalse())
+}
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -4,47 +4,71 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bamboodeal/bamboodeal/decision/feeding"
 	"github.com/bamboodeal/bamboodeal/pkg/clock"
 )
 
 const (
-	// watchWait is how long the store holds a watch without a change. It bounds how long a connection that went
-	// silent is unnoticed.
-	watchWait = 2500 * time.Millisecond
-	// batchTime is the least time between two watches, so that a series of changes costs few calls. It is a small
-	// part of the 2 s in which a version has to be in force.
-	batchTime = 150 * time.Millisecond
-	// firstRetry and lastRetry bound the wait after a failed call; it doubles and is spread by a random half.
-	firstRetry = 50 * time.Millisecond
-	lastRetry  = 800 * time.Millisecond
+	// readWait is how long a source holds a read without a change. A reader that lost the store, or a connection that
+	// went silent, is noticed after it.
+	readWait = 500 * time.Millisecond
+	// batchTime is the least time between two reads, so that a series of changes costs few calls. It is a small part
+	// of the 2 s in which a version has to be in force.
+	batchTime = 100 * time.Millisecond
+	// firstRetry and lastRetry bound the wait after a failed read; it doubles and is spread by a random half.
+	firstRetry = 20 * time.Millisecond
+	lastRetry  = 400 * time.Millisecond
 	// expireInterval is how often entries that wait for their removal are looked at.
 	expireInterval = 250 * time.Millisecond
 )
 
-// Maintainer keeps the current view. Run is its control goroutine; View may be called from any other.
+// MaintainerOptions configure a Maintainer.
+type MaintainerOptions struct {
+	// VM and DataCentre are the node's own, UpstreamAddress is the "IP:port" of the upstream beside it.
+	VM              string
+	DataCentre      string
+	UpstreamAddress string
+	// Store is the platform's store, Peer the node of another VM.
+	Store Source
+	Peer  func(vm string) Source
+	// Decode translates an entry; ok is false for entries that change nothing.
+	Decode func(e Entry) (c Change, ok bool)
+	Clock  clock.Clock
+	Log    *logrus.Logger
+	// OnView is called with each new view, from the control goroutine.
+	OnView func(*View)
+}
+
+// Maintainer keeps the current view. Run is its control goroutine; the other methods may be called from any.
 type Maintainer struct {
-	source   Source
-	clock    clock.Clock
-	log      *logrus.Logger
+	o        MaintainerOptions
 	registry *Registry
+	sources  *feeding.Sources
 	view     atomic.Pointer[View]
-	onView   func(*View)
-	// contact is when the store last answered, on the clock.
-	contact  atomic.Int64
-	loaded   bool
-	revision uint64
-	lost     bool
+	// contact is when the store last confirmed the view, on the clock.
+	contact atomic.Int64
+	lost    bool
+	// everything asks for the whole contents with the next read.
+	everything bool
+
+	mu   sync.Mutex
+	feed *Feed
+	// changed is closed when the feed changes.
+	changed chan struct{}
 }
 
-// NewMaintainer returns a maintainer whose view is empty. onView is called with each new view, from the control
-// goroutine.
-func NewMaintainer(source Source, ownAddress string, c clock.Clock, log *logrus.Logger, onView func(*View)) *Maintainer {
-	m := &Maintainer{source: source, clock: c, log: log, registry: NewRegistry(ownAddress), onView: onView}
+// NewMaintainer returns a maintainer whose view is empty.
+func NewMaintainer(o MaintainerOptions) *Maintainer {
+	m := &Maintainer{
+		o: o, registry: NewRegistry(o.UpstreamAddress), sources: feeding.NewSources(o.VM, o.DataCentre),
+		feed: NewFeed(), changed: make(chan struct{}),
+	}
 	m.view.Store(m.registry.View())
 	return m
 }
@@ -52,15 +76,37 @@
 // View returns the current view; it is never nil.
 func (m *Maintainer) View() *View { return m.view.Load() }
 
-// StoreAge returns how long ago the store last answered.
-func (m *Maintainer) StoreAge() time.Duration { return m.clock.Now() - time.Duration(m.contact.Load()) }
+// StoreAge returns how long ago the store last confirmed the view.
+func (m *Maintainer) StoreAge() time.Duration {
+	return m.o.Clock.Now() - time.Duration(m.contact.Load())
+}
 
-// answer is the outcome of one call to the store.
+// Serve answers a node that follows this one: what changed after a revision, at the latest after the wait.
+func (m *Maintainer) Serve(after uint64, wait time.Duration) Delta {
+	timer := time.NewTimer(min(wait, readWait))
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		delta, changed := m.feed.Since(after), m.changed
+		m.mu.Unlock()
+		if len(delta.Entries) > 0 || after == 0 || m.StoreAge() > feeding.StaleAge {
+			delta.Age = m.StoreAge()
+			return delta
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			delta.Age = m.StoreAge()
+			return delta
+		}
+	}
+}
+
+// answer is the outcome of one read.
 type answer struct {
-	contents *Contents
-	changes  []Change
-	revision uint64
-	err      error
+	source string
+	delta  Delta
+	err    error
 }
 
 // Run follows the store until ctx ends.
@@ -77,75 +123,100 @@
 		case <-ctx.Done():
 			return
 		case <-wait.C:
-			started = m.clock.Now()
-			go m.call(answers, m.loaded, m.revision)
+			started = m.o.Clock.Now()
+			go m.read(answers, m.sources.Next(started, m.View().Members()), m.position())
 		case a := <-answers:
 			if m.take(a) {
 				retry = firstRetry
-				wait.Reset(max(0, batchTime-(m.clock.Now()-started)))
+				wait.Reset(max(0, batchTime-(m.o.Clock.Now()-started)))
 				continue
 			}
 			wait.Reset(retry/2 + rand.N(retry/2))
 			retry = min(2*retry, lastRetry)
 		case <-expire.C:
-			if m.registry.Expire(m.clock.Now()) {
+			if m.registry.Expire(m.o.Clock.Now()) {
 				m.publish()
 			}
 		}
 	}
 }
 
-func (m *Maintainer) call(answers chan<- answer, loaded bool, revision uint64) {
-	if loaded {
-		changes, next, err := m.source.Watch(revision, watchWait)
-		answers <- answer{changes: changes, revision: next, err: err}
-		return
+func (m *Maintainer) position() uint64 {
+	if m.everything {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.feed.Revision()
+}
+
+func (m *Maintainer) read(answers chan<- answer, name string, after uint64) {
+	source := m.o.Store
+	if name != feeding.Store {
+		source = m.o.Peer(name)
 	}
-	contents, next, err := m.source.Load()
-	answers <- answer{contents: &contents, revision: next, err: err}
+	delta, err := source.Read(after, readWait)
+	if err == nil && delta.Age > feeding.StaleAge {
+		err = ErrStale
+	}
+	answers <- answer{name, delta, err}
 }
 
-// take handles the outcome of a call and reports whether the store answered.
+// take handles the outcome of a read and reports whether it confirmed the view.
 func (m *Maintainer) take(a answer) bool {
-	now := m.clock.Now()
+	now := m.o.Clock.Now()
 	if errors.Is(a.err, ErrHistoryLost) {
-		m.log.WithField("revision", m.revision).Warn("the store discarded its history; loading all contents")
-		m.loaded = false
-		m.answered(now)
+		m.o.Log.WithField("source", a.source).Warn("the source discarded its history; reading everything")
+		m.everything = true
 		return true
 	}
 	if a.err != nil {
-		m.registry.Lost()
-		if !m.lost {
-			m.lost = true
-			m.log.WithError(a.err).WithField("revision", m.revision).Warn("lost the store; serving on the last view")
-		}
-		return false
+		m.sources.Failed(now, a.source)
+		m.o.Log.WithError(a.err).WithField("source", a.source).Debug("a source failed")
 	}
-	m.answered(now)
-	if m.lost {
-		m.lost = false
-		m.log.WithField("revision", a.revision).Info("the store answers again")
+	if a.err == nil || errors.Is(a.err, ErrStale) {
+		m.apply(now, a)
 	}
-	m.revision = a.revision
-	if a.contents != nil {
-		m.loaded = true
-		m.registry.Replace(now, *a.contents)
-		m.publish()
-		return true
+	m.logContact(a)
+	return a.err == nil
+}
+
+// apply takes a delta into the feed and the registry.
+func (m *Maintainer) apply(now time.Duration, a answer) {
+	if at := now - a.delta.Age; a.delta.Revision > 0 && int64(at) > m.contact.Load() {
+		m.contact.Store(int64(at))
+		m.registry.Contact(at)
 	}
-	for _, c := range a.changes {
-		m.registry.Apply(now, c)
+	m.everything = false
+	m.mu.Lock()
+	entries := m.feed.Apply(a.delta)
+	if len(entries) > 0 {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	m.mu.Unlock()
+	for _, e := range entries {
+		if change, ok := m.o.Decode(e); ok {
+			m.registry.Apply(now, change)
+		}
 	}
-	if len(a.changes) > 0 {
+	if len(entries) > 0 {
 		m.publish()
 	}
-	return true
 }
 
-func (m *Maintainer) answered(now time.Duration) {
-	m.registry.Contact(now)
-	m.contact.Store(int64(now))
+// logContact notes when the contact to the store was lost or regained, over all sources.
+func (m *Maintainer) logContact(a answer) {
+	age := m.StoreAge()
+	if lost := age > outageTime; lost != m.lost {
+		m.lost = lost
+		line := m.o.Log.WithField("age_ms", age.Milliseconds()).WithField("source", a.source)
+		if lost {
+			line.WithError(a.err).Warn("lost the store; serving on the last view")
+		} else {
+			line.Info("the store confirms the view again")
+		}
+	}
 }
 
 // publish makes the registry's state visible to the traffic goroutines.
@@ -153,13 +224,15 @@
 	next, last := m.registry.View(), m.view.Load()
 	m.view.Store(next)
 	m.logChange(last, next)
-	if m.onView != nil {
-		m.onView(next)
+	if m.o.OnView != nil {
+		m.o.OnView(next)
 	}
 }
 
 func (m *Maintainer) logChange(last, next *View) {
-	fields := logrus.Fields{"revision": m.revision, "vms": len(next.VMs)}
+	m.mu.Lock()
+	fields := logrus.Fields{"revision": m.feed.Revision(), "vms": len(next.VMs)}
+	m.mu.Unlock()
 	if next.Config != nil {
 		fields["version"] = next.Config.Version
 	}
@@ -167,10 +240,26 @@
 		fields["previous_version"] = last.Config.Version
 	}
 	if next.Own != nil {
-		fields["upstream"] = next.Own.ID
+		fields["upstream"], fields["draining"] = next.Own.ID, next.Own.Draining
 	}
 	if len(next.Evacuated) > 0 {
 		fields["evacuated"] = next.Evacuated
 	}
-	m.log.WithFields(fields).Info("adopted a new view of the mesh")
+	m.o.Log.WithFields(fields).Info("adopted a new view of the mesh")
+	if next.Config != last.Config && last.Config != nil {
+		m.logLimits(last.Config, next.Config)
+	}
+}
+
+// logLimits notes each team whose limit differs between two versions.
+func (m *Maintainer) logLimits(last, next *Config) {
+	for _, team := range next.Teams {
+		was := last.Team(team.Name)
+		if was != nil && was.Rate == team.Rate && was.Burst == team.Burst {
+			continue
+		}
+		m.o.Log.WithFields(logrus.Fields{
+			"version": next.Version, "team": team.Name, "rate": team.Rate, "burst": team.Burst,
+		}).Info("the limit of a team changed")
+	}
 }
--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -4,11 +4,18 @@
 	"net"
 	"sort"
 	"time"
+
+	"github.com/bamboodeal/bamboodeal/decision/feeding"
 )
 
-// lapseGrace is how long the entry of an upstream that is missing when the store is reachable again is still used: live
-// upstreams register again within about 2 s.
-const lapseGrace = 2500 * time.Millisecond
+const (
+	// lapseGrace is how long the entry of an upstream that is missing when the store is reachable again is still
+	// used: live upstreams register again within about 2 s.
+	lapseGrace = 2500 * time.Millisecond
+	// outageTime without contact to the store counts as an outage. It is longer than a few reads and shorter than
+	// the silence after which entries lapse.
+	outageTime = 2 * time.Second
+)
 
 // Upstream is one registered upstream.
 type Upstream struct {
@@ -46,13 +53,6 @@
 	Restored  string
 }
 
-// Contents is everything that the store publishes at one moment.
-type Contents struct {
-	Config    *Config
-	Upstreams []*Upstream
-	Evacuated []string
-}
-
 // View is an immutable picture of the mesh.
 type View struct {
 	// Config is nil until a configuration is known.
@@ -71,18 +71,19 @@
 type Registry struct {
 	ownAddress string
 	config     *Config
-	upstreams  map[string]*entry
+	upstreams  map[string]*member
 	// newest keeps the last incarnation and report of each ID, also after its entry is removed, so that a report
 	// that arrives late is not taken for a living upstream.
 	newest    map[string]*Upstream
 	evacuated map[string]bool
-	// lost is true from a failed call until the next answer, outage from then until the end of lapseGrace.
-	lost     bool
+	// contact is when the store last confirmed the contents; outage is true from its return until the end of
+	// lapseGrace.
+	contact  time.Duration
 	outage   bool
 	returned time.Duration
 }
 
-type entry struct {
+type member struct {
 	upstream *Upstream
 	// removeAt is set while a removal waits for the end of lapseGrace.
 	removeAt time.Duration
@@ -91,38 +92,17 @@
 // NewRegistry returns an empty registry of the node beside the upstream at ownAddress ("IP:port").
 func NewRegistry(ownAddress string) *Registry {
 	return &Registry{
-		ownAddress: ownAddress, upstreams: map[string]*entry{}, newest: map[string]*Upstream{},
+		ownAddress: ownAddress, upstreams: map[string]*member{}, newest: map[string]*Upstream{},
 		evacuated: map[string]bool{},
 	}
 }
 
-// Lost notes that a call to the store failed.
-func (r *Registry) Lost() { r.lost = true }
-
-// Contact notes that the store answered.
-func (r *Registry) Contact(now time.Duration) {
-	if r.lost {
-		r.lost, r.outage, r.returned = false, true, now
-	}
-}
-
-// Replace takes the whole contents, after a start or when changes were missed.
-func (r *Registry) Replace(now time.Duration, c Contents) {
-	r.adopt(c.Config)
-	present := map[string]bool{}
-	for _, u := range c.Upstreams {
-		present[u.ID] = true
-		r.put(u)
-	}
-	for id := range r.upstreams {
-		if !present[id] {
-			r.remove(now, id)
-		}
-	}
-	clear(r.evacuated)
-	for _, name := range c.Evacuated {
-		r.evacuated[name] = true
+// Contact notes that the store confirmed the contents at a time.
+func (r *Registry) Contact(at time.Duration) {
+	if r.contact > 0 && at-r.contact > outageTime {
+		r.outage, r.returned = true, at
 	}
+	r.contact = max(r.contact, at)
 }
 
 // Apply takes one change.
@@ -153,7 +133,7 @@
 		return
 	}
 	r.newest[u.ID] = u
-	r.upstreams[u.ID] = &entry{upstream: u}
+	r.upstreams[u.ID] = &member{upstream: u}
 }
 
 func (r *Registry) remove(now time.Duration, id string) {
@@ -217,6 +197,21 @@
 	return v
 }
 
+// Members returns the VMs with a registered upstream.
+func (v *View) Members() []feeding.Member {
+	members := make([]feeding.Member, 0, len(v.VMs))
+	listed := map[string]bool{}
+	for _, list := range v.ByService {
+		for _, u := range list {
+			if !listed[u.IP] {
+				listed[u.IP] = true
+				members = append(members, feeding.Member{VM: u.IP, DataCentre: u.DataCentre})
+			}
+		}
+	}
+	return members
+}
+
 // SplitIP returns the IP of an "IP:port" address, or an empty text.
 func SplitIP(address string) string {
 	host, _, err := net.SplitHostPort(address)
--- a/pkg/mesh/source.go
+++ b/pkg/mesh/source.go
@@ -6,17 +6,18 @@
 	"github.com/rotisserie/eris"
 )
 
-// ErrHistoryLost means that the store no longer has the changes after the revision; load the contents again.
-var ErrHistoryLost = eris.New("the store discarded the history after this revision; load the contents again")
+// ErrHistoryLost means that the source no longer has the changes after the revision; read everything.
+var ErrHistoryLost = eris.New("the source discarded the history after this revision; read everything again")
 
 // ErrBusy means that the store turned the call away without doing anything; wait before the next call.
 var ErrBusy = eris.New("the store turned the call away; wait before the next call")
 
-// Source reads what the platform publishes. It is used by one goroutine.
+// ErrStale means that a reader has lost its own contact to the store; follow another one.
+var ErrStale = eris.New("the reader has no contact to the store; follow another one")
+
+// Source is the platform's store, or another node that reads it. It is used by one goroutine.
 type Source interface {
-	// Load returns the whole contents and the revision after which Watch continues.
-	Load() (Contents, uint64, error)
-	// Watch returns the changes after a revision as soon as there is one, or none after the wait, and the revision
-	// to continue from. ErrHistoryLost asks for a Load.
-	Watch(after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Read returns what changed after a revision, as soon as there is something or after the wait. Revision 0 asks
+	// for everything at once. ErrHistoryLost asks for that.
+	Read(after uint64, wait time.Duration) (Delta, error)
 }
