--- a/decision/allowance/allowance.go
+++ b/decision/allowance/allowance.go
@@ -4,7 +4,6 @@
 package allowance
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -24,6 +23,8 @@
 	// holder grants the whole rate to the nodes that reach it, even if it is alone on its side of a partition, so
 	// the others together have to stay within the tolerance of the limit, which is a quarter.
 	separateShare = 0.2
+	// substituteTime is how long a substitute keeps a bucket without being asked.
+	substituteTime = 2 * time.Second
 	// minRetry is the shortest time after which an empty bucket is asked again.
 	minRetry = 50 * time.Millisecond
 )
@@ -49,6 +50,17 @@
 	return names
 }
 
+// Holder returns the first of Holders, or an empty text without VMs.
+func Holder(team string, vms []string) string {
+	best, highest := "", uint64(0)
+	for _, vm := range vms {
+		if h := xxhash.Sum64String(vm + "/" + team); best == "" || h > highest {
+			best, highest = vm, h
+		}
+	}
+	return best
+}
+
 type holder struct {
 	vm   string
 	hash uint64
@@ -57,6 +69,8 @@
 // Buckets are the buckets that a node holds. It is not safe for concurrent use.
 type Buckets struct {
 	buckets map[string]*bucket
+	// held are the teams that this node holds; it is a substitute for the others.
+	held map[string]bool
 }
 
 type bucket struct {
@@ -65,12 +79,25 @@
 }
 
 // NewBuckets returns a node without buckets.
-func NewBuckets() *Buckets { return &Buckets{buckets: map[string]*bucket{}} }
+func NewBuckets() *Buckets { return &Buckets{buckets: map[string]*bucket{}, held: map[string]bool{}} }
+
+// Hold takes the list of teams that this node holds from now on. A team that is new starts with an empty bucket, so
+// that moves never give a second burst.
+func (b *Buckets) Hold(now time.Duration, teams []string) {
+	held := make(map[string]bool, len(teams))
+	for _, team := range teams {
+		held[team] = true
+		if !b.held[team] {
+			b.buckets[team] = &bucket{updated: now}
+		}
+	}
+	b.held = held
+}
 
 // Lease takes up to want tokens of a team. With none granted, retry is the time until there may be one.
 func (b *Buckets) Lease(now time.Duration, team string, l Limit, want int) (granted int, retry time.Duration) {
 	k := b.buckets[team]
-	if k == nil {
+	if k == nil || (!b.held[team] && now-k.updated > substituteTime) {
 		k = &bucket{updated: now}
 		b.buckets[team] = k
 	}
@@ -121,7 +148,7 @@
 	if now < b.emptyUntil {
 		return 0
 	}
-	ahead := int(math.Ceil(min(b.demand, 1000) * aheadTime.Seconds()))
+	ahead := int(min(b.demand, maxLease/aheadTime.Seconds()) * aheadTime.Seconds())
 	return max(1, waiting, min(waiting+ahead, maxLease))
 }
 
--- a/decision/allowance/allowance_test.go
+++ b/decision/allowance/allowance_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -147,3 +148,50 @@
 		g.Expect(Holders(team, rest)).To(Equal(ranked[1:]))
 	}
 }
+
+// A large fleet spreads a team's requests so thinly that a token borrowed in advance expires unused. It then counts
+// against the team, and requests below the rate are refused.
+func TestAThinlySpreadTeamIsAdmitted(t *testing.T) {
+	g := NewWithT(t)
+	limit := Limit{Rate: 20, Burst: 20}
+	f := newFleet(69, 3, 0, limit)
+	f.buckets.Hold(0, []string{"team"})
+	sent, random := 0, rand.New(rand.NewPCG(1, 2))
+	for now := 10 * time.Second; now < 40*time.Second; now += time.Duration(random.ExpFloat64() / 14 * float64(time.Second)) {
+		f.arrive(now, random.IntN(69))
+		sent++
+	}
+	g.Expect(len(f.admitted)).To(BeNumerically(">=", sent*99/100))
+}
+
+// A holder fills its buckets from when it takes them over, so that the first requests of a team find tokens.
+func TestAHeldBucketFillsBeforeTheFirstRequest(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBuckets()
+	b.Hold(0, []string{"team"})
+	granted, _ := b.Lease(time.Second, "team", usual, 6)
+	g.Expect(granted).To(Equal(6))
+}
+
+// Moves of a team between holders that already run must not give a burst each.
+func TestMovesGiveNoSecondBurst(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBuckets()
+	b.Hold(0, []string{"other"})
+	b.Hold(10*time.Second, []string{"team"})
+	granted, _ := b.Lease(10*time.Second, "team", usual, 6)
+	g.Expect(granted).To(BeZero())
+	b.Hold(20*time.Second, nil)
+	b.Hold(21*time.Second, []string{"team"})
+	granted, _ = b.Lease(21*time.Second, "team", usual, 6)
+	g.Expect(granted).To(BeZero())
+}
+
+// A substitute keeps no tokens from an earlier time.
+func TestASubstituteStartsEmptyEachTime(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBuckets()
+	b.Lease(0, "team", usual, 1)
+	granted, _ := b.Lease(time.Minute, "team", usual, 6)
+	g.Expect(granted).To(BeZero())
+}
--- a/pkg/forward/lease.go
+++ b/pkg/forward/lease.go
@@ -15,11 +15,12 @@
 
 const (
 	leasePath = "/v1/lease"
-	// tokenWait is the longest time that a request waits for its team's allowance; it is small beside the latency
-	// objectives.
-	tokenWait = 150 * time.Millisecond
-	// leaseTimeout bounds one question to a holder.
-	leaseTimeout = 100 * time.Millisecond
+	// tokenWait is the longest time that a request waits for its team's allowance; it leaves time for the request
+	// itself within the shortest latency objectives.
+	tokenWait = 200 * time.Millisecond
+	// leaseTimeout bounds one question to a holder. A VM whose share of a processor is used up stands still for up to
+	// a tenth of a second.
+	leaseTimeout = 250 * time.Millisecond
 	// holderPause is how long a holder that did not answer is not asked.
 	holderPause = 300 * time.Millisecond
 )
@@ -69,6 +70,22 @@
 	}
 }
 
+// hold takes a new list of VMs or teams.
+func (l *leases) hold(v *mesh.View) {
+	if v.Config == nil {
+		return
+	}
+	var teams []string
+	for _, team := range v.Config.Teams {
+		if team.Rate > 0 && allowance.Holder(team.Name, v.VMs) == l.own {
+			teams = append(teams, team.Name)
+		}
+	}
+	l.holding.Lock()
+	defer l.holding.Unlock()
+	l.buckets.Hold(l.o.Clock.Now(), teams)
+}
+
 // admit reports whether a request of the team is within its limit; it waits a short time for tokens.
 func (l *leases) admit(team *mesh.Team) bool {
 	if team.Rate <= 0 {
--- a/pkg/forward/node.go
+++ b/pkg/forward/node.go
@@ -92,6 +92,7 @@
 	returned := n.evacuated && !out
 	n.evacuated = out
 	n.mu.Unlock()
+	n.leases.hold(v)
 	if v.Own != nil {
 		n.controller.queue.change(func(now time.Duration) []slots.Action {
 			return n.controller.queue.slots.SetSlots(now, v.Own.Slots)
