--- a/decision/feeding/readers.go
+++ b/decision/feeding/readers.go
@@ -63,12 +63,14 @@
 type Sources struct {
 	own        string
 	dataCentre string
-	suspended  map[string]time.Duration
+	// narrow nodes do not read the store: its answers hold whole values, which a follower gets as small patches.
+	narrow    bool
+	suspended map[string]time.Duration
 }
 
-// NewSources returns the sources of the node of a VM.
-func NewSources(own, dataCentre string) *Sources {
-	return &Sources{own: own, dataCentre: dataCentre, suspended: map[string]time.Duration{}}
+// NewSources returns the sources of the node of a VM; narrow says that its link is.
+func NewSources(own, dataCentre string, narrow bool) *Sources {
+	return &Sources{own: own, dataCentre: dataCentre, narrow: narrow, suspended: map[string]time.Duration{}}
 }
 
 // Next returns the source to ask now: the store for a reader, else a reader, and the store when no reader is known to
@@ -79,7 +81,7 @@
 	reads := false
 	for _, vm := range readers {
 		if vm == s.own {
-			reads = true
+			reads = !s.narrow
 			continue
 		}
 		order = append(order, vm)
--- a/decision/feeding/readers_test.go
+++ b/decision/feeding/readers_test.go
@@ -33,7 +33,7 @@
 	readers := Readers(members, "south")
 	g.Expect(readers[0]).To(HavePrefix("south"))
 	for _, m := range members {
-		source := NewSources(m.VM, m.DataCentre).Next(0, members)
+		source := NewSources(m.VM, m.DataCentre, false).Next(0, members)
 		if source != Store {
 			g.Expect(source).To(HavePrefix(m.DataCentre))
 		}
@@ -45,7 +45,7 @@
 	g := NewWithT(t)
 	members := fleet(4)
 	reader := Readers(members, "west")[0]
-	s := NewSources(reader, "west")
+	s := NewSources(reader, "west", false)
 	g.Expect(s.Next(0, members)).To(Equal(Store))
 	s.Failed(0, Store)
 	other := s.Next(0, members)
@@ -56,7 +56,15 @@
 // A node that knows no other asks the store itself, also when the store just failed.
 func TestANodeWithoutMembersAsksTheStore(t *testing.T) {
 	g := NewWithT(t)
-	s := NewSources("a", "north")
+	s := NewSources("a", "north", false)
 	s.Failed(0, Store)
 	g.Expect(s.Next(time.Millisecond, nil)).To(Equal(Store))
 }
+
+// Whole values from the store filled a link of 10 Mbit/s, and the followers of that reader fell behind.
+func TestANodeWithANarrowLinkFollowsOthers(t *testing.T) {
+	g := NewWithT(t)
+	members := fleet(4)
+	reader := Readers(members, "west")[0]
+	g.Expect(NewSources(reader, "west", true).Next(0, members)).NotTo(Equal(Store))
+}
--- a/pkg/forward/message.go
+++ b/pkg/forward/message.go
@@ -77,10 +77,10 @@
 	ctx.SetBody(body)
 }
 
-// feedRequest asks a reader for what changed after a revision.
+// feedRequest asks a reader for what changed after a position.
 type feedRequest struct {
-	After  uint64 `json:"r"`
-	WaitMS int64  `json:"w"`
+	mesh.Position
+	WaitMS int64 `json:"w"`
 }
 
 // reader is another node as a source of what the store publishes.
@@ -93,9 +93,9 @@
 func (n *Node) Reader(vm string) mesh.Source { return reader{n, vm} }
 
 // Read asks the node.
-func (r reader) Read(after uint64, wait time.Duration) (d mesh.Delta, err error) {
+func (r reader) Read(after mesh.Position, wait time.Duration) (d mesh.Delta, err error) {
 	asked := r.n.o.Clock.Now()
-	q := feedRequest{After: after, WaitMS: wait.Milliseconds()}
+	q := feedRequest{Position: after, WaitMS: wait.Milliseconds()}
 	err = exchange(r.n.hops, r.vm+r.n.port, feedPath, q, &d, wait+feedTimeout)
 	if err == nil && d.Revision == 0 {
 		err = mesh.ErrStale
@@ -110,6 +110,6 @@
 func (n *Node) serveFeed(ctx *fasthttp.RequestCtx) {
 	var q feedRequest
 	if readBody(ctx, &q) {
-		writeBody(ctx, n.o.Feed(q.After, time.Duration(q.WaitMS)*time.Millisecond))
+		writeBody(ctx, n.o.Feed(q.Position, time.Duration(q.WaitMS)*time.Millisecond))
 	}
 }
--- a/pkg/forward/options.go
+++ b/pkg/forward/options.go
@@ -57,6 +57,8 @@
 	// RetrySlack is the number of extra sends in RetryWindow that all nodes together may make beside their share.
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// LinkMbps is the rate of the VM's link in Mbit/s.
+	LinkMbps float64
 	// MemoryLimit is the memory of the VM in bytes.
 	MemoryLimit int64
 }
@@ -71,6 +73,6 @@
 	View func() *mesh.View
 	// StoreAge returns how long ago the platform's store last answered this node.
 	StoreAge func() time.Duration
-	// Feed returns what the store changed after a revision, for nodes that follow this one.
-	Feed func(after uint64, wait time.Duration) mesh.Delta
+	// Feed returns what the store changed after a position, for nodes that follow this one.
+	Feed func(after mesh.Position, wait time.Duration) mesh.Delta
 }
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -1,6 +1,24 @@
 package mesh
 
-import "time"
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bamboodeal/bamboodeal/api/bundle"
+)
+
+const (
+	// patchAbove is the size in bytes above which a value is sent as a patch to the one that the follower has. The
+	// whole configuration of a large fleet is more than 100 KB, a change of it a few hundred bytes.
+	patchAbove = 8 << 10
+	// keptValues is the number of earlier values of a large entry that a feed keeps as bases of patches. Followers
+	// ask several times a second, so they are one or two versions behind.
+	keptValues = 3
+)
+
+// ErrBase means that a patch belongs to another value than the one known here; read everything.
+var ErrBase = eris.New("the patch is for another value than the one known here; read everything again")
 
 // keptRemovals bounds the removed entries that a feed remembers. A follower that is further behind gets everything.
 const keptRemovals = 1024
@@ -11,6 +29,9 @@
 	Value    string `json:"v,omitempty"`
 	Revision uint64 `json:"r"`
 	Removed  bool   `json:"x,omitempty"`
+	// Patch takes the place of Value: a patch to the value with the revision Base.
+	Patch []byte `json:"p,omitempty"`
+	Base  uint64 `json:"b,omitempty"`
 }
 
 // Delta is what changed up to a revision.
@@ -31,17 +52,25 @@
 	// floor is the revision up to which removals are forgotten.
 	floor    uint64
 	revision uint64
+	// earlier are the last values of large entries, by key, the newest last.
+	earlier map[string][]Entry
 }
 
 // NewFeed returns an empty feed.
-func NewFeed() *Feed { return &Feed{entries: map[string]Entry{}} }
+func NewFeed() *Feed { return &Feed{entries: map[string]Entry{}, earlier: map[string][]Entry{}} }
 
 // Revision returns the revision up to which the feed is complete.
 func (f *Feed) Revision() uint64 { return f.revision }
 
-// Apply takes a delta and returns the entries that are new to this feed, removals of unlisted ones included.
-func (f *Feed) Apply(d Delta) []Entry {
+// Apply takes a delta and returns the entries that are new to this feed, removals of unlisted ones included. With
+// ErrBase nothing is changed.
+func (f *Feed) Apply(d Delta) ([]Entry, error) {
 	var changed []Entry
+	for i := range d.Entries {
+		if err := f.unpatch(&d.Entries[i]); err != nil {
+			return nil, err
+		}
+	}
 	if d.Full {
 		listed := map[string]bool{}
 		for _, e := range d.Entries {
@@ -57,7 +86,62 @@
 		changed = append(changed, f.put(e)...)
 	}
 	f.revision = max(f.revision, d.Revision)
-	return changed
+	return changed, nil
+}
+
+// unpatch completes the value of an entry that was sent as a patch.
+func (f *Feed) unpatch(e *Entry) error {
+	if len(e.Patch) == 0 {
+		return nil
+	}
+	known := f.entries[e.Key]
+	if known.Revision != e.Base {
+		return ErrBase
+	}
+	value, err := bundle.DecodePatch([]byte(known.Value), e.Patch)
+	if err != nil {
+		return eris.Wrap(ErrBase, err.Error())
+	}
+	e.Value, e.Patch, e.Base = string(value), nil, 0
+	return nil
+}
+
+// Positions returns the revisions of the large entries, which a follower sends so that it gets patches.
+func (f *Feed) Positions() map[string]uint64 {
+	positions := map[string]uint64{}
+	for key, e := range f.entries {
+		if len(e.Value) > patchAbove {
+			positions[key] = e.Revision
+		}
+	}
+	return positions
+}
+
+// Patched returns the entry as a patch to the value with the revision base, or as it is when it is not known or the
+// patch is no smaller.
+func (f *Feed) Patched(e Entry, base uint64) (Entry, error) {
+	for _, old := range f.earlier[e.Key] {
+		if old.Revision != base {
+			continue
+		}
+		patch, err := bundle.EncodePatch([]byte(old.Value), []byte(e.Value))
+		if err != nil {
+			return e, err
+		}
+		if len(patch) < len(e.Value)/2 {
+			return Entry{Key: e.Key, Revision: e.Revision, Patch: patch, Base: base}, nil
+		}
+	}
+	return e, nil
+}
+
+// keep notes a large value that is replaced.
+func (f *Feed) keep(e Entry) {
+	if len(e.Value) <= patchAbove {
+		return
+	}
+	list := append(f.earlier[e.Key], e)
+	f.earlier[e.Key] = list[max(0, len(list)-keptValues):]
 }
 
 func (f *Feed) put(e Entry) []Entry {
@@ -69,6 +153,7 @@
 			return nil
 		}
 	}
+	f.keep(f.entries[e.Key])
 	if !e.Removed {
 		f.entries[e.Key] = e
 		return []Entry{e}
--- a/pkg/mesh/feed_test.go
+++ b/pkg/mesh/feed_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -37,7 +38,8 @@
 	g := NewWithT(t)
 	f := NewFeed()
 	f.Apply(Delta{Entries: []Entry{written("a", "x", 1), written("b", "y", 2)}, Revision: 2})
-	changed := f.Apply(Delta{Entries: []Entry{written("b", "y", 2)}, Revision: 9, Full: true})
+	changed, err := f.Apply(Delta{Entries: []Entry{written("b", "y", 2)}, Revision: 9, Full: true})
+	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(changed).To(ConsistOf(Entry{Key: "a", Revision: 9, Removed: true}))
 	g.Expect(f.Since(2).Entries).To(ConsistOf(Entry{Key: "a", Revision: 9, Removed: true}))
 }
@@ -64,3 +66,25 @@
 	g.Expect(f.Since(1).Full).To(BeTrue())
 	g.Expect(f.Since(f.Revision() - 2).Full).To(BeFalse())
 }
+
+// Whole configurations in quick succession fill the links of followers.
+func TestALargeEntryIsSentAsAPatch(t *testing.T) {
+	g := NewWithT(t)
+	reader, follower := NewFeed(), NewFeed()
+	large := strings.Repeat("a route of the mesh; ", 1000)
+	first := Delta{Entries: []Entry{written("config", "1"+large, 1)}, Revision: 1}
+	reader.Apply(first)
+	follower.Apply(first)
+	reader.Apply(Delta{Entries: []Entry{written("config", "2"+large, 2)}, Revision: 2})
+	d := reader.Since(1)
+	patched, err := reader.Patched(d.Entries[0], follower.Positions()["config"])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(patched.Patch)).To(BeNumerically("<", 200))
+	g.Expect(patched.Value).To(BeEmpty())
+	d.Entries[0] = patched
+	changed, err := follower.Apply(d)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changed).To(ConsistOf(written("config", "2"+large, 2)))
+	_, err = NewFeed().Apply(Delta{Entries: []Entry{patched}, Revision: 2})
+	g.Expect(err).To(MatchError(ErrBase))
+}
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -34,6 +34,8 @@
 	VM              string
 	DataCentre      string
 	UpstreamAddress string
+	// NarrowLink keeps the node from reading the store while others do.
+	NarrowLink bool
 	// Store is the platform's store, Peer the node of another VM.
 	Store Source
 	Peer  func(vm string) Source
@@ -59,15 +61,25 @@
 
 	mu   sync.Mutex
 	feed *Feed
+	// patches are the last ones made; all followers of a reader need the same.
+	patches map[patchKey]Entry
 	// changed is closed when the feed changes.
 	changed chan struct{}
 }
 
+// keptPatches bounds the patches that are kept.
+const keptPatches = 4
+
+type patchKey struct {
+	key      string
+	from, to uint64
+}
+
 // NewMaintainer returns a maintainer whose view is empty.
 func NewMaintainer(o MaintainerOptions) *Maintainer {
 	m := &Maintainer{
-		o: o, registry: NewRegistry(o.UpstreamAddress), sources: feeding.NewSources(o.VM, o.DataCentre),
-		feed: NewFeed(), changed: make(chan struct{}),
+		o: o, registry: NewRegistry(o.UpstreamAddress), sources: feeding.NewSources(o.VM, o.DataCentre, o.NarrowLink),
+		feed: NewFeed(), changed: make(chan struct{}), patches: map[patchKey]Entry{},
 	}
 	m.view.Store(m.registry.View())
 	return m
@@ -82,14 +94,12 @@
 }
 
 // Serve answers a node that follows this one: what changed after a revision, at the latest after the wait.
-func (m *Maintainer) Serve(after uint64, wait time.Duration) Delta {
+func (m *Maintainer) Serve(after Position, wait time.Duration) Delta {
 	timer := time.NewTimer(min(wait, readWait))
 	defer timer.Stop()
 	for {
-		m.mu.Lock()
-		delta, changed := m.feed.Since(after), m.changed
-		m.mu.Unlock()
-		if len(delta.Entries) > 0 || after == 0 || m.StoreAge() > feeding.StaleAge {
+		delta, changed := m.since(after)
+		if len(delta.Entries) > 0 || after.Revision == 0 || m.StoreAge() > feeding.StaleAge {
 			delta.Age = m.StoreAge()
 			return delta
 		}
@@ -102,6 +112,33 @@
 	}
 }
 
+// since returns what changed after a position, with patches for large entries, and the channel that tells of more.
+func (m *Maintainer) since(after Position) (Delta, chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delta := m.feed.Since(after.Revision)
+	for i, e := range delta.Entries {
+		base, has := after.Large[e.Key]
+		if !has || e.Removed {
+			continue
+		}
+		key := patchKey{e.Key, base, e.Revision}
+		patched, known := m.patches[key]
+		if !known {
+			var err error
+			if patched, err = m.feed.Patched(e, base); err != nil {
+				m.o.Log.WithError(err).WithField("key", e.Key).Warn("cannot make a patch; sending the whole value")
+			}
+			if len(m.patches) >= keptPatches {
+				clear(m.patches)
+			}
+			m.patches[key] = patched
+		}
+		delta.Entries[i] = patched
+	}
+	return delta, m.changed
+}
+
 // answer is the outcome of one read.
 type answer struct {
 	source string
@@ -141,16 +178,16 @@
 	}
 }
 
-func (m *Maintainer) position() uint64 {
+func (m *Maintainer) position() Position {
 	if m.everything {
-		return 0
+		return Position{}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.feed.Revision()
+	return Position{m.feed.Revision(), m.feed.Positions()}
 }
 
-func (m *Maintainer) read(answers chan<- answer, name string, after uint64) {
+func (m *Maintainer) read(answers chan<- answer, name string, after Position) {
 	source := m.o.Store
 	if name != feeding.Store {
 		source = m.o.Peer(name)
@@ -183,18 +220,22 @@
 
 // apply takes a delta into the feed and the registry.
 func (m *Maintainer) apply(now time.Duration, a answer) {
+	m.everything = false
 	if at := now - a.delta.Age; a.delta.Revision > 0 && int64(at) > m.contact.Load() {
 		m.contact.Store(int64(at))
 		m.registry.Contact(at)
 	}
-	m.everything = false
 	m.mu.Lock()
-	entries := m.feed.Apply(a.delta)
+	entries, err := m.feed.Apply(a.delta)
 	if len(entries) > 0 {
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
 	m.mu.Unlock()
+	if err != nil {
+		m.o.Log.WithError(err).WithField("source", a.source).Warn("reading everything again")
+		m.everything = true
+	}
 	for _, e := range entries {
 		if change, ok := m.o.Decode(e); ok {
 			m.registry.Apply(now, change)
--- a/pkg/mesh/source.go
+++ b/pkg/mesh/source.go
@@ -15,9 +15,16 @@
 // ErrStale means that a reader has lost its own contact to the store; follow another one.
 var ErrStale = eris.New("the reader has no contact to the store; follow another one")
 
+// Position is how far a follower is.
+type Position struct {
+	Revision uint64 `json:"r"`
+	// Large are the revisions of its large entries, to which it takes patches.
+	Large map[string]uint64 `json:"l,omitempty"`
+}
+
 // Source is the platform's store, or another node that reads it. It is used by one goroutine.
 type Source interface {
-	// Read returns what changed after a revision, as soon as there is something or after the wait. Revision 0 asks
+	// Read returns what changed after a position, as soon as there is something or after the wait. Revision 0 asks
 	// for everything at once. ErrHistoryLost asks for that.
-	Read(after uint64, wait time.Duration) (Delta, error)
+	Read(after Position, wait time.Duration) (Delta, error)
 }
