--- a/cmd/bamboodeal-sidecar/main.go
+++ b/cmd/bamboodeal-sidecar/main.go
@@ -54,7 +54,9 @@
 }
 
 func run(file string) int {
-	log, err := logging.New(os.Stdout, "info", nil)
+	output := logging.NewAsync(os.Stdout)
+	defer output.Close()
+	log, err := logging.New(output, "info", nil)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "bamboodeal-sidecar:", err)
 		return exitFailure
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -102,6 +102,10 @@
 	if r := c.identify(config, req); r.reason != ReasonNone {
 		return r
 	}
+	if c.n.controller.leaving.Load() && c.priority != innerPriority {
+		// A request that is taken now may be cut when the grace ends; calls of requests in progress are short.
+		return result{Leaving, shortestRetryAfter}
+	}
 	c.setTimes(req)
 	c.service = choose(c.route.Destinations)
 	c.clean(req)
--- /dev/null
+++ b/pkg/forward/harness_test.go
@@ -0,0 +1,279 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bamboodeal/bamboodeal/pkg/clock"
+	"github.com/bamboodeal/bamboodeal/pkg/mesh"
+)
+
+var names = Headers{
+	RequestID: "Id", DeadlineMS: "Deadline", Key: "Key", Team: "Team", CallerService: "Caller", ExpectUpstream: "Expect",
+	UpstreamID: "Upstream", UpstreamStamp: "Stamp", UpstreamLoad: "Load", ColdMS: "Cold", NotRun: "Not-Run",
+	ReadinessTarget: "/ready",
+}
+
+// upstreamStub is an upstream whose behaviour a test sets.
+type upstreamStub struct {
+	id      string
+	server  *fasthttp.Server
+	address string
+	runs    atomic.Int64
+	cold    atomic.Int64
+	mu      sync.Mutex
+	serve   func(ctx *fasthttp.RequestCtx)
+	seen    []string
+}
+
+func newUpstreamStub(t *testing.T, id, address string) *upstreamStub {
+	t.Helper()
+	u := &upstreamStub{id: id, address: address}
+	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, Logger: logrus.New()}
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = u.server.Serve(l) }()
+	t.Cleanup(func() { _ = u.server.Shutdown() })
+	return u
+}
+
+func (u *upstreamStub) set(serve func(ctx *fasthttp.RequestCtx)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.serve = serve
+}
+
+func (u *upstreamStub) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == "/health" {
+		ctx.Response.Header.Set(names.UpstreamID, u.id)
+		ctx.Response.Header.Set(names.ColdMS, fmt.Sprint(u.cold.Load()))
+		return
+	}
+	if expected := string(ctx.Request.Header.Peek(names.ExpectUpstream)); expected != u.id {
+		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
+		return
+	}
+	u.runs.Add(1)
+	u.mu.Lock()
+	serve := u.serve
+	u.seen = append(u.seen, ctx.Request.Header.String())
+	u.mu.Unlock()
+	ctx.Response.Header.Set(names.RequestID, string(ctx.Request.Header.Peek(names.RequestID)))
+	ctx.Response.Header.Set(names.UpstreamStamp, u.id)
+	ctx.SetBodyString("answer of " + u.id)
+	if serve != nil {
+		serve(ctx)
+	}
+}
+
+// testMesh runs nodes on addresses of loopback, each beside its upstream.
+type testMesh struct {
+	t         *testing.T
+	view      atomic.Pointer[mesh.View]
+	nodes     []*Node
+	stops     []context.CancelFunc
+	done      []chan struct{}
+	upstreams []*upstreamStub
+	logs      *syncBuffer
+	ports     [3]int
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+func freePorts(t *testing.T, ip string, n int) []int {
+	t.Helper()
+	ports := make([]int, n)
+	for i := range ports {
+		l, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ports[i] = l.Addr().(*net.TCPAddr).Port
+		defer func() { _ = l.Close() }()
+	}
+	return ports
+}
+
+// nextIP gives each test its own addresses, so that ports of one test are free in the next.
+var nextIP atomic.Int64
+
+const (
+	testService = "orders"
+	testKey     = "key-of-red"
+)
+
+func testConfig(t *testing.T, change func(*mesh.Route)) *mesh.Config {
+	t.Helper()
+	routes := []*mesh.Route{
+		{Name: "read", Host: "shop", Prefix: "/read/", Idempotent: true},
+		{Name: "write", Host: "shop", Prefix: "/write/"},
+		{Name: "inner", Host: "shop", Prefix: "/inner/", Idempotent: true, Open: true},
+	}
+	for _, r := range routes {
+		r.Timeout, r.Objective, r.MaxAttempts = 2*time.Second, 400*time.Millisecond, 2
+		r.Destinations = []mesh.Destination{{Service: testService, Weight: 1}}
+		if change != nil {
+			change(r)
+		}
+	}
+	c, err := mesh.NewConfig(1, []*mesh.Service{{
+		Name: testService, HealthPath: "/health", MaxConnections: 50, ColdStart: 3 * time.Second, ColdPerSecond: 10,
+	}}, []*mesh.Team{{Name: "red", Keys: []string{testKey}, Rate: 1000, Burst: 1000}}, routes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// newTestMesh starts nodes; change may alter the routes.
+func newTestMesh(t *testing.T, count int, change func(*mesh.Route)) *testMesh {
+	t.Helper()
+	m := &testMesh{t: t, logs: &syncBuffer{}}
+	base := nextIP.Add(1)
+	view := &mesh.View{Config: testConfig(t, change), ByService: map[string][]*mesh.Upstream{}, Evacuated: map[string]bool{}}
+	ports := freePorts(t, "127.0.0.1", 4)
+	copy(m.ports[:], ports)
+	for i := range count {
+		ip := fmt.Sprintf("127.%d.0.%d", base, i+1)
+		u := newUpstreamStub(t, fmt.Sprintf("u%d", i), fmt.Sprintf("%s:%d", ip, ports[3]))
+		m.upstreams = append(m.upstreams, u)
+		view.VMs = append(view.VMs, ip)
+		view.ByService[testService] = append(view.ByService[testService], &mesh.Upstream{
+			ID: u.id, Service: testService, Address: u.address, IP: ip, DataCentre: "north", Slots: 4,
+		})
+	}
+	m.view.Store(view)
+	for i := range count {
+		m.start(i)
+	}
+	NewWithT(t).Eventually(func() bool {
+		for _, n := range m.nodes {
+			if n.controller.health.upstream() == "" {
+				return false
+			}
+		}
+		return true
+	}, 5*time.Second).Should(BeTrue())
+	return m
+}
+
+func (m *testMesh) address(node, port int) string {
+	return fmt.Sprintf("%s:%d", m.view.Load().VMs[node], m.ports[port])
+}
+
+func (m *testMesh) start(i int) {
+	log := logrus.New()
+	log.SetOutput(m.logs)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	own := func() *mesh.View {
+		v := *m.view.Load()
+		v.Own = v.ByService[testService][i]
+		return &v
+	}
+	n, err := New(Options{
+		Settings: Settings{
+			VM: fmt.Sprint("vm", i), DataCentre: "north", Service: testService, CallerAddress: m.address(i, 0),
+			PeerAddress: m.address(i, 1), ReadyAddress: m.address(i, 2), UpstreamAddress: m.upstreams[i].address,
+			StopGrace: 6 * time.Second,
+		},
+		Headers: names, Clock: clock.System(), Log: log, View: own,
+		StoreAge: func() time.Duration { return 0 },
+		Feed:     func(mesh.Position, time.Duration) mesh.Delta { return mesh.Delta{} },
+	})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	m.nodes, m.stops, m.done = append(m.nodes, n), append(m.stops, cancel), append(m.done, done)
+	n.ViewChanged(own())
+	go func() {
+		defer close(done)
+		if err := n.Run(ctx); err != nil {
+			m.t.Error(err)
+		}
+	}()
+	m.t.Cleanup(func() {
+		n.o.Settings.StopGrace = 0
+		cancel()
+	})
+}
+
+// request is a request of a caller.
+type request struct {
+	method, path, id string
+	header           map[string]string
+	deadline         time.Duration
+}
+
+// send sends a request to a node on a new connection and returns the response.
+func (m *testMesh) send(node int, r request) *fasthttp.Response {
+	m.t.Helper()
+	client := &fasthttp.HostClient{Addr: m.address(node, 0), MaxIdemponentCallAttempts: 1}
+	defer client.CloseIdleConnections()
+	return m.sendOn(client, r)
+}
+
+func (m *testMesh) sendOn(client *fasthttp.HostClient, r request) *fasthttp.Response {
+	m.t.Helper()
+	req := &fasthttp.Request{}
+	req.SetRequestURI("http://shop" + r.path)
+	req.Header.SetMethod(strings.ToUpper(r.method))
+	req.Header.Set(names.RequestID, r.id)
+	req.Header.Set(names.Key, testKey)
+	if r.deadline > 0 {
+		req.Header.Set(names.DeadlineMS, fmt.Sprint(r.deadline.Milliseconds()))
+	}
+	for name, value := range r.header {
+		if value == "" {
+			req.Header.Del(name)
+			continue
+		}
+		req.Header.Set(name, value)
+	}
+	if r.method == fasthttp.MethodPost {
+		req.SetBodyString("body of " + r.id)
+	}
+	resp := &fasthttp.Response{}
+	if err := client.DoTimeout(req, resp, 10*time.Second); err != nil {
+		m.t.Errorf("request %s: %v", r.id, err)
+	}
+	return resp
+}
+
+// runs returns how often all upstreams ran a request.
+func (m *testMesh) runs() int64 {
+	n := int64(0)
+	for _, u := range m.upstreams {
+		n += u.runs.Load()
+	}
+	return n
+}
--- a/pkg/forward/node.go
+++ b/pkg/forward/node.go
@@ -111,6 +111,10 @@
 	ready := n.server(n.handleReady, callerIdleTimeout)
 	servers := []*fasthttp.Server{callers, peers, ready}
 	addresses := []string{n.o.Settings.CallerAddress, n.o.Settings.PeerAddress, n.o.Settings.ReadyAddress}
+	if n.o.Settings.MetricsAddress != "" {
+		servers = append(servers, n.server(n.serveMetrics, callerIdleTimeout))
+		addresses = append(addresses, n.o.Settings.MetricsAddress)
+	}
 	listeners := make([]net.Listener, len(addresses))
 	for i, address := range addresses {
 		l, err := net.Listen("tcp4", address)
--- /dev/null
+++ b/pkg/forward/node_test.go
@@ -0,0 +1,176 @@
+package forward
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bamboodeal/bamboodeal/pkg/mesh"
+)
+
+func TestARequestIsServedByTheChosenUpstream(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	resp := m.send(0, request{method: "GET", path: "/read/1", id: "r1", header: map[string]string{
+		names.Team: "forged", names.CallerService: "forged",
+	}})
+	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusOK))
+	g.Expect(string(resp.Body())).To(HavePrefix("answer of u"))
+	g.Expect(resp.Header.Peek(names.UpstreamStamp)).NotTo(BeEmpty())
+	g.Expect(resp.Header.Peek(answerHeader)).To(BeEmpty())
+	seen := ""
+	for _, u := range m.upstreams {
+		seen += strings.Join(u.seen, "")
+	}
+	// The key never leaves the entry node, and a caller cannot claim a team or a service.
+	g.Expect(seen).NotTo(ContainSubstring(testKey))
+	g.Expect(seen).NotTo(ContainSubstring("forged"))
+	g.Expect(seen).NotTo(ContainSubstring(hopHeader))
+	g.Expect(seen).To(ContainSubstring(names.Team + ": red"))
+	g.Expect(seen).To(ContainSubstring(names.CallerService + ": " + testService))
+	g.Expect(m.logs.String()).NotTo(ContainSubstring(testKey))
+}
+
+func TestRequestsThatTheConfigurationDoesNotAllow(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, nil)
+	g.Expect(m.send(0, request{method: "GET", path: "/other", id: "a"}).StatusCode()).To(Equal(fasthttp.StatusNotFound))
+	wrong := m.send(0, request{method: "GET", path: "/read/1", id: "b", header: map[string]string{names.Key: "wrong"}})
+	g.Expect(wrong.StatusCode()).To(Equal(fasthttp.StatusUnauthorized))
+	inner := m.send(0, request{method: "GET", path: "/inner/1", id: "c", header: map[string]string{names.Key: ""}})
+	g.Expect(inner.StatusCode()).To(Equal(fasthttp.StatusOK))
+	g.Expect(m.runs()).To(Equal(int64(1)))
+}
+
+// A request that an upstream refused without running it goes to another one, also when it may run only once.
+func TestARefusedRequestGoesToAnotherUpstream(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	refuse := func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set(names.NotRun, "1")
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	m.upstreams[0].set(refuse)
+	resp := m.send(0, request{method: "POST", path: "/write/1", id: "w"})
+	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusOK))
+	m.upstreams[1].set(refuse)
+	resp = m.send(0, request{method: "POST", path: "/write/2", id: "w2"})
+	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusServiceUnavailable))
+	g.Expect(resp.Header.Peek(fasthttp.HeaderRetryAfter)).NotTo(BeEmpty())
+}
+
+// After its answer was lost, a request may have run: one that may run only once is not sent again.
+func TestALostAnswerIsNotARefusal(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	for _, u := range m.upstreams {
+		u.set(func(ctx *fasthttp.RequestCtx) { _ = ctx.Conn().Close() })
+	}
+	resp := m.send(0, request{method: "POST", path: "/write/1", id: "w"})
+	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusBadGateway))
+	g.Expect(m.runs()).To(Equal(int64(1)))
+}
+
+// A failure that an upstream answered is delivered when the second attempt is refused.
+func TestAFailureOfAnUpstreamIsDelivered(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	fail := func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusInternalServerError) }
+	for _, u := range m.upstreams {
+		u.set(fail)
+	}
+	resp := m.send(0, request{method: "GET", path: "/read/1", id: "r"})
+	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusInternalServerError))
+	g.Expect(resp.Header.Peek(names.UpstreamStamp)).NotTo(BeEmpty())
+	g.Expect(m.runs()).To(Equal(int64(2)))
+}
+
+// A response that belongs to an earlier request, or bytes after a response, must not reach a caller.
+func TestForeignResponsesAreSkipped(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, nil)
+	m.upstreams[0].set(func(ctx *fasthttp.RequestCtx) {
+		id := string(ctx.Request.Header.Peek(names.RequestID))
+		_, _ = ctx.Conn().Write([]byte("HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 7\r\n\r\nforeign"))
+		_, _ = ctx.Conn().Write([]byte("HTTP/1.1 200 OK\r\nId: " + id + "\r\nStamp: s\r\nContent-Length: 3\r\n\r\nown"))
+		_, _ = ctx.Conn().Write([]byte("HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 5\r\n\r\nagain"))
+		time.Sleep(20 * time.Millisecond)
+		_ = ctx.Conn().Close()
+	})
+	for _, id := range []string{"a", "b"} {
+		resp := m.send(0, request{method: "GET", path: "/read/1", id: id})
+		g.Expect(string(resp.Body())).To(Equal("own"))
+	}
+}
+
+// A route's timeout bounds the wait, and a request that was sent then is not reported as refused.
+func TestATimeoutIsNotARefusal(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, func(r *mesh.Route) { r.Timeout = 300 * time.Millisecond })
+	m.upstreams[0].set(func(*fasthttp.RequestCtx) { time.Sleep(time.Second) })
+	start := time.Now()
+	resp := m.send(0, request{method: "POST", path: "/write/1", id: "w", deadline: 5 * time.Second})
+	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusGatewayTimeout))
+	g.Expect(time.Since(start)).To(BeNumerically("<", 500*time.Millisecond))
+}
+
+// A caller that leaves ends the work that may be repeated.
+func TestACallerThatLeavesEndsTheWork(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	closed := make(chan struct{}, 2)
+	for _, u := range m.upstreams {
+		u.set(func(ctx *fasthttp.RequestCtx) {
+			deadline := time.Now().Add(2 * time.Second)
+			one := make([]byte, 1)
+			_ = ctx.Conn().SetReadDeadline(deadline)
+			if _, err := ctx.Conn().Read(one); err != nil && time.Now().Before(deadline) {
+				closed <- struct{}{}
+			}
+		})
+	}
+	client := &fasthttp.HostClient{Addr: m.address(0, 0), MaxIdemponentCallAttempts: 1}
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI("http://shop/read/1")
+	req.Header.Set(names.Key, testKey)
+	req.Header.Set(names.RequestID, "gone")
+	g.Expect(client.DoTimeout(req, resp, 100*time.Millisecond)).NotTo(Succeed())
+	g.Eventually(closed, 600*time.Millisecond).Should(Receive())
+}
+
+// A stopping node serves what it takes and answers the rest: requests that come late in the grace were cut with the
+// process, although the caller could have used another node.
+func TestAStoppingNodeRefusesLateRequestsAndCutsNone(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	slow := func(*fasthttp.RequestCtx) { time.Sleep(1800 * time.Millisecond) }
+	m.upstreams[1].set(slow)
+	m.upstreams[0].set(slow)
+	client := &fasthttp.HostClient{Addr: m.address(0, 0), MaxIdemponentCallAttempts: 1}
+	stopped := time.Now()
+	m.stops[0]()
+	g.Eventually(func() int {
+		return int(status(m, 0))
+	}, time.Second).Should(Equal(fasthttp.StatusServiceUnavailable))
+	early := m.sendOn(client, request{method: "GET", path: "/read/1", id: "early", deadline: 4 * time.Second})
+	g.Expect(early.StatusCode()).To(Equal(fasthttp.StatusOK))
+	g.Expect(early.ConnectionClose()).To(BeTrue())
+	go m.send(0, request{method: "GET", path: "/read/1", id: "long", deadline: 4 * time.Second})
+	time.Sleep(time.Until(stopped.Add(stopNotice + 400*time.Millisecond)))
+	late := m.send(0, request{method: "GET", path: "/read/1", id: "late", deadline: 4 * time.Second})
+	g.Expect(late.StatusCode()).To(Equal(fasthttp.StatusServiceUnavailable))
+	g.Expect(late.Header.Peek(fasthttp.HeaderRetryAfter)).NotTo(BeEmpty())
+	g.Eventually(m.done[0], 3*time.Second).Should(BeClosed())
+	g.Expect(time.Since(stopped)).To(BeNumerically("<", 6*time.Second))
+}
+
+func status(m *testMesh, node int) int64 {
+	code, _, err := fasthttp.Get(nil, "http://"+m.address(node, 2)+names.ReadinessTarget)
+	if err != nil {
+		return 0
+	}
+	return int64(code)
+}
--- a/pkg/forward/reason.go
+++ b/pkg/forward/reason.go
@@ -60,6 +60,7 @@
 	NoUpstream:  "no upstream of the service is available; send the request again after Retry-After",
 	Overloaded:  "the service is overloaded; send the request again after Retry-After",
 	Expired:     "the deadline passed before the request was sent; allow more time",
+	Leaving:     "the node stops; send the request to another node",
 	Shed:        "the upstream refused the request; send it again after Retry-After",
 	Unreachable: "no upstream was reached; send the request again after Retry-After",
 	Lost:        "the answer was lost and the request may have run; check before sending it again",
--- a/pkg/forward/recorder.go
+++ b/pkg/forward/recorder.go
@@ -45,8 +45,13 @@
 	if res.reason == ReasonNone {
 		reason = "answered"
 	}
-	metrics.GetOrRegisterCounter("requests."+c.service+"."+reason, r.registry).Inc(1)
-	r.histogram("latency_us." + c.service).Update(took.Microseconds())
+	route := ""
+	if c.route != nil {
+		route = c.route.Name
+	}
+	labels := []string{"service", c.service, "route", route, "reason", reason}
+	metrics.GetOrRegisterCounter(metricName("requests_total", labels...), r.registry).Inc(1)
+	r.histogram(metricName("request_microseconds", "service", c.service, "reason", reason)).Update(took.Microseconds())
 	plain := res.reason == ReasonNone && c.asked <= 1
 	if !r.allowed(now, plain) {
 		return
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/bamboodeal/bamboodeal/api/bundle"
 )
 
 const (
@@ -30,7 +28,7 @@
 	Revision uint64 `json:"r"`
 	Removed  bool   `json:"x,omitempty"`
 	// Patch takes the place of Value: a patch to the value with the revision Base.
-	Patch []byte `json:"p,omitempty"`
+	Patch []Copy `json:"p,omitempty"`
 	Base  uint64 `json:"b,omitempty"`
 }
 
@@ -98,11 +96,11 @@
 	if known.Revision != e.Base {
 		return ErrBase
 	}
-	value, err := bundle.DecodePatch([]byte(known.Value), e.Patch)
-	if err != nil {
-		return eris.Wrap(ErrBase, err.Error())
+	value, ok := applyPatch(known.Value, e.Patch)
+	if !ok {
+		return ErrBase
 	}
-	e.Value, e.Patch, e.Base = string(value), nil, 0
+	e.Value, e.Patch, e.Base = value, nil, 0
 	return nil
 }
 
@@ -119,20 +117,16 @@
 
 // Patched returns the entry as a patch to the value with the revision base, or as it is when it is not known or the
 // patch is no smaller.
-func (f *Feed) Patched(e Entry, base uint64) (Entry, error) {
+func (f *Feed) Patched(e Entry, base uint64) Entry {
 	for _, old := range f.earlier[e.Key] {
 		if old.Revision != base {
 			continue
 		}
-		patch, err := bundle.EncodePatch([]byte(old.Value), []byte(e.Value))
-		if err != nil {
-			return e, err
-		}
-		if len(patch) < len(e.Value)/2 {
-			return Entry{Key: e.Key, Revision: e.Revision, Patch: patch, Base: base}, nil
+		if patch := makePatch(old.Value, e.Value); patchSize(patch) < len(e.Value)/2 {
+			return Entry{Key: e.Key, Revision: e.Revision, Patch: patch, Base: base}
 		}
 	}
-	return e, nil
+	return e
 }
 
 // keep notes a large value that is replaced.
--- a/pkg/mesh/feed_test.go
+++ b/pkg/mesh/feed_test.go
@@ -71,20 +71,19 @@
 func TestALargeEntryIsSentAsAPatch(t *testing.T) {
 	g := NewWithT(t)
 	reader, follower := NewFeed(), NewFeed()
-	large := strings.Repeat("a route of the mesh; ", 1000)
-	first := Delta{Entries: []Entry{written("config", "1"+large, 1)}, Revision: 1}
+	large := strings.Repeat(`{"name":"a route of the mesh"},`, 1000)
+	first := Delta{Entries: []Entry{written("config", `{"version":1},`+large, 1)}, Revision: 1}
 	reader.Apply(first)
 	follower.Apply(first)
-	reader.Apply(Delta{Entries: []Entry{written("config", "2"+large, 2)}, Revision: 2})
+	reader.Apply(Delta{Entries: []Entry{written("config", `{"version":2},`+large, 2)}, Revision: 2})
 	d := reader.Since(1)
-	patched, err := reader.Patched(d.Entries[0], follower.Positions()["config"])
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(len(patched.Patch)).To(BeNumerically("<", 200))
+	patched := reader.Patched(d.Entries[0], follower.Positions()["config"])
+	g.Expect(patchSize(patched.Patch)).To(BeNumerically("<", 200))
 	g.Expect(patched.Value).To(BeEmpty())
 	d.Entries[0] = patched
 	changed, err := follower.Apply(d)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(changed).To(ConsistOf(written("config", "2"+large, 2)))
+	g.Expect(changed).To(ConsistOf(written("config", `{"version":2},`+large, 2)))
 	_, err = NewFeed().Apply(Delta{Entries: []Entry{patched}, Revision: 2})
 	g.Expect(err).To(MatchError(ErrBase))
 }
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -125,10 +125,7 @@
 		key := patchKey{e.Key, base, e.Revision}
 		patched, known := m.patches[key]
 		if !known {
-			var err error
-			if patched, err = m.feed.Patched(e, base); err != nil {
-				m.o.Log.WithError(err).WithField("key", e.Key).Warn("cannot make a patch; sending the whole value")
-			}
+			patched = m.feed.Patched(e, base)
 			if len(m.patches) >= keptPatches {
 				clear(m.patches)
 			}
