--- a/decision/slots/queue.go
+++ b/decision/slots/queue.go
@@ -3,6 +3,7 @@
 package slots
 
 import (
+	"math"
 	"time"
 )
 
@@ -28,11 +29,19 @@
 	meanWeight = 0.1
 	// unknownLatency stands for a route without samples.
 	unknownLatency = 100 * time.Millisecond
+	// burstTime is the time constant of the share of time in which all slots are taken: shorter bursts are served
+	// late.
+	burstTime = time.Second
+	// overloadShare is the share above which late answers are given up.
+	overloadShare = 0.8
 	// coldWindow is the span in which the requests to a cold upstream are counted.
 	coldWindow = time.Second
 	// tolerance is the part of the time left that the estimate of a request's end may use up; the rest covers the
 	// spread of service times.
 	tolerance = 0.8
+	// waitShare is the part of a request's spare time, which its service does not need, that a strict request may
+	// wait. Callers that were refused come back with less time than they had, so the line has to be short.
+	waitShare = 0.15
 )
 
 // Request is a request for a slot. Times are on the process's monotonic clock.
@@ -89,6 +98,9 @@
 	coldRate  float64
 	// starts are the times of the requests that were started within coldWindow.
 	starts []time.Duration
+	// busy is the moving share of time in which all slots were taken, up to observed.
+	busy     float64
+	observed time.Duration
 }
 
 // NewQueue returns the queue of an upstream with a number of slots.
@@ -139,11 +151,12 @@
 	return q.mean
 }
 
-// delay estimates when a new request of a priority starts, from now.
-func (q *Queue) delay(now time.Duration, priority int) time.Duration {
+// delay estimates when a new request starts, from now. Waiting requests that have missed their objective give way to
+// one that can still meet it.
+func (q *Queue) delay(now time.Duration, r *Request) time.Duration {
 	ahead := 0
 	for _, w := range q.waiting {
-		if w.Priority <= priority {
+		if w.Priority <= r.Priority && (!r.Strict || q.meets(now, w)) {
 			ahead++
 		}
 	}
@@ -163,7 +176,8 @@
 // Arrive decides on a request. The queue drops none of its own later without an Action.
 func (q *Queue) Arrive(now time.Duration, r Request) (Decision, []Action) {
 	q.trim(now)
-	delay, service := q.delay(now, r.Priority), q.expected(r.Route)
+	q.observe(now)
+	delay, service := q.delay(now, &r), q.expected(r.Route)
 	end := now + time.Duration(float64(delay+service))
 	switch {
 	case delay == 0 && now < r.Deadline:
@@ -171,10 +185,12 @@
 		return Decision{Start: true}, nil
 	case r.Strict && q.cold(now):
 		return Decision{Reason: Cold, After: delay}, nil
-	case r.Strict && end > now+scaled(r.Objective-now):
+	case r.Strict && float64(delay) > float64(r.Objective-now-service)*waitShare:
 		return Decision{Reason: Busy, After: delay}, nil
 	case end > now+scaled(r.Deadline-now):
 		return Decision{Reason: TooLate, After: delay}, nil
+	case !r.Strict && q.overloaded():
+		return Decision{Reason: Busy, After: delay}, nil
 	}
 	var actions []Action
 	if len(q.waiting) >= maxWaiting*q.slots {
@@ -203,6 +219,7 @@
 
 // Finish ends a started request. A latency of 0 is no sample.
 func (q *Queue) Finish(now time.Duration, route string, latency time.Duration) []Action {
+	q.observe(now)
 	q.running--
 	if latency > 0 {
 		q.latency[route] = average(q.latency[route], latency)
@@ -267,7 +284,7 @@
 func (q *Queue) pick(now time.Duration) int {
 	best, bestMeets := -1, false
 	for i, w := range q.waiting {
-		meets := now+q.expected(w.Route) <= w.Objective
+		meets := q.meets(now, w)
 		if best < 0 || (meets && !bestMeets) ||
 			(meets == bestMeets && w.Priority < q.waiting[best].Priority) {
 			best, bestMeets = i, meets
@@ -276,6 +293,27 @@
 	return best
 }
 
+// meets reports whether a waiting request can still meet its objective.
+func (q *Queue) meets(now time.Duration, w *waiter) bool {
+	return now+q.expected(w.Route) <= w.Objective
+}
+
+// overloaded reports whether all slots have been taken for most of the last seconds. Requests that wait for a late
+// answer then only keep slots from those that can be in time, and their callers learn too late that they are not served.
+func (q *Queue) overloaded() bool { return q.busy > overloadShare }
+
+// observe brings the share of time in which all slots are taken up to now.
+func (q *Queue) observe(now time.Duration) {
+	if passed := now - q.observed; passed > 0 {
+		full := 0.0
+		if q.running >= q.slots {
+			full = 1
+		}
+		q.busy = full + (q.busy-full)*math.Exp(-float64(passed)/float64(burstTime))
+		q.observed = now
+	}
+}
+
 func (q *Queue) leastUrgent() int {
 	worst := 0
 	for i, w := range q.waiting {
@@ -289,6 +327,7 @@
 func (q *Queue) drop(i int) { q.waiting = append(q.waiting[:i], q.waiting[i+1:]...) }
 
 func (q *Queue) start(now time.Duration) {
+	q.observe(now)
 	q.running++
 	q.starts = append(q.starts, now)
 }
--- /dev/null
+++ b/decision/slots/queue_test.go
@@ -0,0 +1,238 @@
+package slots
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	objective = 400 * time.Millisecond
+	deadline  = 2500 * time.Millisecond
+	work      = 120 * time.Millisecond
+	workSigma = 0.8
+)
+
+// event is something that happens at a time of a simulated day.
+type event struct {
+	at  time.Duration
+	run func(now time.Duration)
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// client is a caller's request with all its attempts.
+type client struct {
+	began    time.Duration
+	asked    time.Duration
+	attempts int
+	urgent   bool
+}
+
+// day plays requests against one queue. Callers that are refused come back after the time that they are told.
+type day struct {
+	queue    *Queue
+	events   events
+	random   *rand.Rand
+	waiting  map[uint64]client
+	nextID   uint64
+	inTime   int
+	late     int
+	refused  int
+	starts   []time.Duration
+	heldLong int
+}
+
+func newDay(slots int) *day {
+	return &day{queue: NewQueue(slots), random: rand.New(rand.NewPCG(3, 4)), waiting: map[uint64]client{}}
+}
+
+func (d *day) at(when time.Duration, run func(now time.Duration)) {
+	heap.Push(&d.events, event{when, run})
+}
+
+func (d *day) play() {
+	for len(d.events) > 0 {
+		e := heap.Pop(&d.events).(event)
+		e.run(e.at)
+	}
+}
+
+// arrivals lets requests come at a rate.
+func (d *day) arrivals(from, until time.Duration, perSecond float64, urgent bool) {
+	for now := from; now < until; now += time.Duration(d.random.ExpFloat64() / perSecond * float64(time.Second)) {
+		d.at(now, func(now time.Duration) { d.arrive(now, client{began: now, urgent: urgent}) })
+	}
+}
+
+// arrive asks as an entry node does when there is no other upstream: strictly first, then for any answer.
+func (d *day) arrive(now time.Duration, c client) {
+	r := Request{Route: "r", Deadline: c.began + deadline, Objective: now + objective, Strict: true}
+	if !c.urgent {
+		r.Priority = 1
+	}
+	c.asked = now
+	d.nextID++
+	r.ID = d.nextID
+	decision, actions := d.queue.Arrive(now, r)
+	d.apply(now, actions)
+	if !decision.Start && !decision.Wait && decision.Reason != TooLate {
+		r.Strict = false
+		decision, actions = d.queue.Arrive(now, r)
+		d.apply(now, actions)
+	}
+	switch {
+	case decision.Start:
+		d.start(now, c)
+	case decision.Wait:
+		d.waiting[r.ID] = c
+	default:
+		d.refuse(now, c, decision.After)
+	}
+}
+
+func (d *day) start(now time.Duration, c client) {
+	d.starts = append(d.starts, now)
+	took := time.Duration(float64(work) * math.Exp(workSigma*d.random.NormFloat64()-workSigma*workSigma/2))
+	d.at(now+took, func(now time.Duration) {
+		switch waited := now - c.began; {
+		case waited <= objective:
+			d.inTime++
+		case waited <= deadline:
+			d.late++
+		}
+		d.apply(now, d.queue.Finish(now, "r", took))
+	})
+}
+
+func (d *day) refuse(now time.Duration, c client, after time.Duration) {
+	c.attempts++
+	left := c.began + deadline - now
+	if c.attempts > 2 || left <= 0 {
+		d.refused++
+		return
+	}
+	d.at(now+min(max(after, 100*time.Millisecond), left/3), func(now time.Duration) { d.arrive(now, c) })
+}
+
+func (d *day) apply(now time.Duration, actions []Action) {
+	for _, a := range actions {
+		c, ok := d.waiting[a.ID]
+		if !ok {
+			continue
+		}
+		delete(d.waiting, a.ID)
+		if a.Reason != "" {
+			if now-c.asked > objective {
+				d.heldLong++
+			}
+			d.refuse(now, c, 0)
+			continue
+		}
+		d.start(now, c)
+	}
+}
+
+// A service that lost most of its upstreams gets twice what it can run for a whole day. Requests that will be late
+// must not take the places of those that can still be in time.
+func TestALastingOverloadServesWhatCanBeInTime(t *testing.T) {
+	g := NewWithT(t)
+	d := newDay(9)
+	d.arrivals(0, 60*time.Second, 150, false)
+	d.play()
+	capacity := 60 * 9 / work.Seconds()
+	t.Logf("in time %d, late %d, refused %d, held long %d of %.0f", d.inTime, d.late, d.refused, d.heldLong, capacity)
+	g.Expect(float64(d.inTime)).To(BeNumerically(">=", 0.75*capacity))
+	// A caller that cannot be served learns it at once.
+	g.Expect(float64(d.heldLong)).To(BeNumerically("<=", 0.02*float64(d.refused)))
+}
+
+// A burst that lasts a few seconds: what cannot be in time is still served before its deadline.
+func TestAShortBurstIsServedLate(t *testing.T) {
+	g := NewWithT(t)
+	d := newDay(9)
+	d.arrivals(0, 10*time.Second, 45, false)
+	d.arrivals(4*time.Second, 5*time.Second, 110, false)
+	d.play()
+	t.Logf("in time %d, late %d, refused %d", d.inTime, d.late, d.refused)
+	g.Expect(float64(d.refused)).To(BeNumerically("<=", 0.02*float64(d.inTime+d.late)))
+}
+
+// Urgent requests keep their places in an overload by others.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	g := NewWithT(t)
+	d := newDay(9)
+	d.arrivals(0, 20*time.Second, 150, false)
+	urgent := newDay(9)
+	urgent.queue, urgent.waiting = d.queue, d.waiting
+	before := d.inTime
+	for i := range 200 {
+		d.at(time.Duration(i)*100*time.Millisecond, func(now time.Duration) {
+			d.arrive(now, client{began: now, urgent: true})
+		})
+	}
+	d.play()
+	g.Expect(d.inTime - before).To(BeNumerically(">", 0))
+	g.Expect(d.refused).To(BeNumerically(">", 0))
+}
+
+// An upstream that has just started crashes at a rate well above what it bears.
+func TestAColdUpstreamGetsNoMoreThanItBears(t *testing.T) {
+	g := NewWithT(t)
+	d := newDay(9)
+	const perSecond = 13
+	d.queue.SetCold(0, 5*time.Second, perSecond)
+	d.arrivals(0, 5*time.Second, 100, false)
+	// The goroutines of the node call Tick when Next says so.
+	for now := time.Duration(0); now < 5*time.Second; now += 10 * time.Millisecond {
+		d.at(now, func(now time.Duration) { d.apply(now, d.queue.Tick(now)) })
+	}
+	d.play()
+	first := 0
+	for i, at := range d.starts {
+		if at >= 5*time.Second {
+			break
+		}
+		for at-d.starts[first] >= time.Second {
+			first++
+		}
+		g.Expect(i - first + 1).To(BeNumerically("<=", perSecond))
+	}
+}
+
+// A request that was taken back leaves no trace, and a full queue gives way to a more urgent request.
+func TestAFullQueueGivesWayToAnUrgentRequest(t *testing.T) {
+	g := NewWithT(t)
+	q := NewQueue(1)
+	arrive := func(id uint64, priority int) (Decision, []Action) {
+		return q.Arrive(0, Request{ID: id, Route: "r", Priority: priority, Deadline: time.Hour, Objective: time.Hour})
+	}
+	d, _ := arrive(1, 2)
+	g.Expect(d.Start).To(BeTrue())
+	for id := uint64(2); id < 2+maxWaiting; id++ {
+		d, _ = arrive(id, 2)
+		g.Expect(d.Wait).To(BeTrue())
+	}
+	d, _ = arrive(90, 2)
+	g.Expect(d.Reason).To(Equal(Busy))
+	d, actions := arrive(91, 0)
+	g.Expect(d.Wait).To(BeTrue())
+	g.Expect(actions).To(HaveLen(1))
+	g.Expect(actions[0].Reason).To(Equal(Displaced))
+	q.Abandon(91)
+	g.Expect(q.Load(0).Waiting).To(Equal(maxWaiting - 1))
+}
