--- a/cmd/bamboodeal-sidecar/main.go
+++ b/cmd/bamboodeal-sidecar/main.go
@@ -32,9 +32,9 @@
 	exitSettings = 2
 )
 
-// narrowLinkMbps is the link below which a node does not read the store: whole configurations of a large fleet, several
-// a second, take about 10 Mbit/s.
-const narrowLinkMbps = 40
+// wideLinkMbps is the link from which a node reads the store before others: whole configurations of a large fleet,
+// several a second, take about 10 Mbit/s.
+const wideLinkMbps = 40
 
 const (
 	// gcPercent trades processor time for memory: the live heap of a node is a few megabytes.
@@ -85,7 +85,7 @@
 	store := platform.NewStore(s.Store, log)
 	maintainer := mesh.NewMaintainer(mesh.MaintainerOptions{
 		VM: mesh.SplitIP(s.Node.PeerAddress), DataCentre: s.Node.DataCentre, UpstreamAddress: s.Node.UpstreamAddress,
-		NarrowLink: s.Node.LinkMbps < narrowLinkMbps, Store: store, Decode: store.Decode, Clock: c, Log: log,
+		WideLink: s.Node.LinkMbps >= wideLinkMbps, Store: store, Decode: store.Decode, Clock: c, Log: log,
 		Peer:   func(vm string) mesh.Source { return node.Reader(vm) },
 		OnView: func(v *mesh.View) { node.ViewChanged(v) },
 	})
--- a/decision/feeding/readers.go
+++ b/decision/feeding/readers.go
@@ -12,7 +12,12 @@
 const (
 	// membersPerReader is the number of VMs of a data centre for each reader. A reader answers each follower about
 	// three times a second.
-	membersPerReader = 16
+	membersPerReader = 24
+	// changeInterval is how often a follower goes on to the next reader of its data centre. What it knows of the links
+	// of VMs thereby spreads over the readers, and all come to the same choice.
+	changeInterval = 5 * time.Second
+	// otherReaders is the number of readers in other data centres that a node tries.
+	otherReaders = 2
 	// suspension is how long a source that failed is passed over while another one answers.
 	suspension = time.Second
 	// StaleAge is how old a reader's contact to the store may be before its followers turn to another one. A change
@@ -24,11 +29,13 @@
 type Member struct {
 	VM         string
 	DataCentre string
+	// Wide says that the VM's link carries whole values of the store several times a second.
+	Wide bool
 }
 
-// Readers returns the VMs that read the store, those of the given data centre first. They follow from the list of
-// members alone, so nodes with the same list agree.
-func Readers(members []Member, dataCentre string) []string {
+// Readers returns the VMs that read the store or pass on what others read, those of the given data centre first. They
+// follow from the list of members alone, so nodes with the same list agree.
+func Readers(members []Member, dataCentre string) []Member {
 	byPlace := map[string][]Member{}
 	for _, m := range members {
 		byPlace[m.DataCentre] = append(byPlace[m.DataCentre], m)
@@ -43,13 +50,16 @@
 		}
 		return places[i] < places[j]
 	})
-	var readers []string
+	var readers []Member
 	for _, place := range places {
 		list := byPlace[place]
-		sort.Slice(list, func(i, j int) bool { return rank(list[i].VM) < rank(list[j].VM) })
-		for _, m := range list[:1+(len(list)-1)/membersPerReader] {
-			readers = append(readers, m.VM)
-		}
+		sort.Slice(list, func(i, j int) bool {
+			if list[i].Wide != list[j].Wide {
+				return list[i].Wide
+			}
+			return rank(list[i].VM) < rank(list[j].VM)
+		})
+		readers = append(readers, list[:1+(len(list)-1)/membersPerReader]...)
 	}
 	return readers
 }
@@ -63,36 +73,24 @@
 type Sources struct {
 	own        string
 	dataCentre string
-	// narrow nodes do not read the store: its answers hold whole values, which a follower gets as small patches.
-	narrow    bool
-	suspended map[string]time.Duration
+	suspended  map[string]time.Duration
+	// meetAt is when a reader next asks the meeting point.
+	meetAt time.Duration
 }
 
-// NewSources returns the sources of the node of a VM; narrow says that its link is.
-func NewSources(own, dataCentre string, narrow bool) *Sources {
-	return &Sources{own: own, dataCentre: dataCentre, narrow: narrow, suspended: map[string]time.Duration{}}
+// NewSources returns the sources of the node of a VM.
+func NewSources(own, dataCentre string) *Sources {
+	return &Sources{own: own, dataCentre: dataCentre, suspended: map[string]time.Duration{}}
 }
 
-// Next returns the source to ask now: the store for a reader, else a reader, and the store when no reader is known to
-// answer. turn spreads the followers over the readers of a data centre.
+// Next returns the source to ask now: the store for a reader, a reader for others, and the store when no reader is
+// known to answer.
 func (s *Sources) Next(now time.Duration, members []Member) string {
-	readers := Readers(members, s.dataCentre)
-	order := make([]string, 0, len(readers)+1)
-	reads := false
-	for _, vm := range readers {
-		if vm == s.own {
-			reads = !s.narrow
-			continue
-		}
-		order = append(order, vm)
-	}
-	s.spread(order, members)
-	if reads {
-		order = append([]string{Store}, order...)
-	} else {
-		order = append(order, Store)
+	if vm := s.meetingPoint(members); vm != Store && now >= s.meetAt && now >= s.suspended[vm] {
+		s.meetAt = now + changeInterval
+		return vm
 	}
-	for _, name := range order {
+	for _, name := range s.order(now, members) {
 		if now >= s.suspended[name] {
 			return name
 		}
@@ -100,21 +98,52 @@
 	return Store
 }
 
-// spread moves the reader that this node starts with to the front, within the readers of its own data centre.
-func (s *Sources) spread(order []string, members []Member) {
-	places := map[string]string{}
-	for _, m := range members {
-		places[m.VM] = m.DataCentre
+// order lists the sources of this node. A reader with a narrow link passes on what a wide one of another data centre
+// reads; it never follows another narrow one, which might follow it in turn.
+func (s *Sources) order(now time.Duration, members []Member) []string {
+	readers := Readers(members, s.dataCentre)
+	self, near, wide := -1, []string(nil), []string(nil)
+	for i, r := range readers {
+		switch {
+		case r.VM == s.own:
+			self = i
+		case r.DataCentre == s.dataCentre:
+			near = append(near, r.VM)
+		case r.Wide:
+			wide = append(wide, r.VM)
+		}
 	}
-	own := 0
-	for own < len(order) && places[order[own]] == s.dataCentre {
-		own++
+	s.spread(now, near)
+	s.spread(now, wide)
+	wide = wide[:min(len(wide), otherReaders)]
+	switch {
+	case self < 0:
+		return append(append(near, wide...), Store)
+	case readers[self].Wide || len(wide) == 0:
+		return append([]string{Store}, wide...)
 	}
-	if own < 2 {
-		return
+	return append(wide, Store)
+}
+
+// meetingPoint returns the VM where nodes of a data centre learn which of them have wide links. Readers that know only
+// themselves would all read the store.
+func (s *Sources) meetingPoint(members []Member) string {
+	best := Store
+	for _, m := range members {
+		if m.DataCentre == s.dataCentre && m.VM != s.own && (best == Store || rank(m.VM) < rank(best)) {
+			best = m.VM
+		}
+	}
+	return best
+}
+
+// spread moves the one that this node starts with to the front, so that the nodes share the readers.
+func (s *Sources) spread(now time.Duration, names []string) {
+	if len(names) > 1 {
+		turn := rank(s.own) + uint64(now/changeInterval)
+		first := int(turn % uint64(len(names)))
+		names[0], names[first] = names[first], names[0]
 	}
-	first := int(rank(s.own) % uint64(own))
-	order[0], order[first] = order[first], order[0]
 }
 
 // Failed passes a source over for some time.
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -40,6 +40,9 @@
 	Full bool `json:"f,omitempty"`
 	// Age is how long ago the store confirmed the revision.
 	Age time.Duration `json:"a"`
+	// Links is the digest of the VMs that are known to have wide links. Wide lists them when the follower knows others.
+	Links uint64   `json:"n,omitempty"`
+	Wide  []string `json:"w,omitempty"`
 }
 
 // Feed keeps the newest state of each entry, so that a follower that is behind gets only the last version of each and
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -21,6 +21,8 @@
 	// batchTime is the least time between two reads, so that a series of changes costs few calls. It is a small part
 	// of the 2 s in which a version has to be in force.
 	batchTime = 100 * time.Millisecond
+	// startBatchTime is the same for a node that reads the store before its own upstream is registered.
+	startBatchTime = 500 * time.Millisecond
 	// firstRetry and lastRetry bound the wait after a failed read; it doubles and is spread by a random half.
 	firstRetry = 20 * time.Millisecond
 	lastRetry  = 400 * time.Millisecond
@@ -34,8 +36,8 @@
 	VM              string
 	DataCentre      string
 	UpstreamAddress string
-	// NarrowLink keeps the node from reading the store while others do.
-	NarrowLink bool
+	// WideLink makes the node a reader of the store before others.
+	WideLink bool
 	// Store is the platform's store, Peer the node of another VM.
 	Store Source
 	Peer  func(vm string) Source
@@ -65,6 +67,9 @@
 	patches map[patchKey]Entry
 	// changed is closed when the feed changes.
 	changed chan struct{}
+	// wide are the VMs that are known to have wide links; heardLinks is the digest in the last answer of a reader.
+	wide       links
+	heardLinks uint64
 }
 
 // keptPatches bounds the patches that are kept.
@@ -78,8 +83,12 @@
 // NewMaintainer returns a maintainer whose view is empty.
 func NewMaintainer(o MaintainerOptions) *Maintainer {
 	m := &Maintainer{
-		o: o, registry: NewRegistry(o.UpstreamAddress), sources: feeding.NewSources(o.VM, o.DataCentre, o.NarrowLink),
+		o: o, registry: NewRegistry(o.UpstreamAddress), sources: feeding.NewSources(o.VM, o.DataCentre),
 		feed: NewFeed(), changed: make(chan struct{}), patches: map[patchKey]Entry{},
+		wide: links{},
+	}
+	if o.WideLink {
+		m.wide[o.VM] = true
 	}
 	m.view.Store(m.registry.View())
 	return m
@@ -117,6 +126,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delta := m.feed.Since(after.Revision)
+	m.wide.add(after.Wide)
+	if delta.Links = m.wide.digest(); delta.Links != after.Links {
+		delta.Wide = m.wide.list()
+	}
 	for i, e := range delta.Entries {
 		base, has := after.Large[e.Key]
 		if !has || e.Removed {
@@ -158,15 +171,17 @@
 			return
 		case <-wait.C:
 			started = m.o.Clock.Now()
-			go m.read(answers, m.sources.Next(started, m.View().Members()), m.position())
+			go m.read(answers, m.sources.Next(started, m.members()), m.position())
 		case a := <-answers:
 			if m.take(a) {
 				retry = firstRetry
-				wait.Reset(max(0, batchTime-(m.o.Clock.Now()-started)))
+				wait.Reset(max(0, m.batch(a.source)-(m.o.Clock.Now()-started)))
 				continue
 			}
 			wait.Reset(retry/2 + rand.N(retry/2))
-			retry = min(2*retry, lastRetry)
+			if a.source == feeding.Store {
+				retry = min(2*retry, lastRetry)
+			}
 		case <-expire.C:
 			if m.registry.Expire(m.o.Clock.Now()) {
 				m.publish()
@@ -175,13 +190,37 @@
 	}
 }
 
+// batch returns the least time between two reads. While the mesh starts, all nodes read the store, and each upstream
+// that registers is a change.
+func (m *Maintainer) batch(source string) time.Duration {
+	if source == feeding.Store && m.View().Own == nil {
+		return startBatchTime
+	}
+	return batchTime
+}
+
 func (m *Maintainer) position() Position {
 	if m.everything {
 		return Position{}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Position{m.feed.Revision(), m.feed.Positions()}
+	p := Position{Revision: m.feed.Revision(), Large: m.feed.Positions(), Links: m.wide.digest()}
+	if p.Links != m.heardLinks {
+		p.Wide = m.wide.list()
+	}
+	return p
+}
+
+// members returns the VMs of the view with what is known of their links.
+func (m *Maintainer) members() []feeding.Member {
+	members := m.View().Members()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range members {
+		members[i].Wide = m.wide[members[i].VM]
+	}
+	return members
 }
 
 func (m *Maintainer) read(answers chan<- answer, name string, after Position) {
@@ -223,6 +262,10 @@
 		m.registry.Contact(at)
 	}
 	m.mu.Lock()
+	m.wide.add(a.delta.Wide)
+	if a.source != feeding.Store {
+		m.heardLinks = a.delta.Links
+	}
 	entries, err := m.feed.Apply(a.delta)
 	if len(entries) > 0 {
 		close(m.changed)
--- a/pkg/mesh/source.go
+++ b/pkg/mesh/source.go
@@ -20,6 +20,10 @@
 	Revision uint64 `json:"r"`
 	// Large are the revisions of its large entries, to which it takes patches.
 	Large map[string]uint64 `json:"l,omitempty"`
+	// Links is the digest of the VMs that the follower knows to have wide links. Wide lists them while the last
+	// answer showed that the source knows others.
+	Links uint64   `json:"n,omitempty"`
+	Wide  []string `json:"w,omitempty"`
 }
 
 // Source is the platform's store, or another node that reads it. It is used by one goroutine.
