--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -21,6 +21,8 @@
 	// doubles with each failure in a row.
 	firstSuspicion   = 300 * time.Millisecond
 	longestSuspicion = 3 * time.Second
+	// unsureTime is how long an upstream is asked last that its node is checking; a check takes a few milliseconds.
+	unsureTime = 100 * time.Millisecond
 	// failureWeight is the weight of a new outcome in the share of failures.
 	failureWeight = 0.15
 )
@@ -150,6 +152,12 @@
 	u.silent++
 }
 
+// Unsure notes that the upstream's node does not know its upstream for the moment.
+func (t *Table) Unsure(now time.Duration, id string) {
+	u := t.get(id)
+	u.until = max(u.until, now+unsureTime)
+}
+
 // Keep forgets the upstreams that are not listed.
 func (t *Table) Keep(listed map[string]bool) {
 	for id := range t.seen {
--- a/decision/slots/queue.go
+++ b/decision/slots/queue.go
@@ -34,6 +34,12 @@
 	burstTime = time.Second
 	// overloadShare is the share above which late answers are given up.
 	overloadShare = 0.8
+	// patienceFactor is the multiple of the usual service time, and shortestPatience the least time, for which an
+	// answer is waited for that can be had elsewhere. Service times vary by a factor of four in 99 of 100 requests.
+	patienceFactor   = 5
+	shortestPatience = 100 * time.Millisecond
+	// patienceSamples is the number of samples from which the usual service time of a route is known.
+	patienceSamples = 8
 	// coldWindow is the span in which the requests to a cold upstream are counted.
 	coldWindow = time.Second
 	// tolerance is the part of the time left that the estimate of a request's end may use up; the rest covers the
@@ -93,10 +99,12 @@
 
 // Queue is not safe for concurrent use.
 type Queue struct {
-	slots     int
-	running   int
-	waiting   []*waiter
+	slots   int
+	running int
+	waiting []*waiter
+	// latency is the mean service time of each route, samples the number of its samples.
 	latency   map[string]time.Duration
+	samples   map[string]int
 	mean      time.Duration
 	coldUntil time.Duration
 	coldRate  float64
@@ -109,7 +117,7 @@
 
 // NewQueue returns the queue of an upstream with a number of slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: slots, latency: map[string]time.Duration{}, mean: unknownLatency}
+	return &Queue{slots: slots, latency: map[string]time.Duration{}, samples: map[string]int{}, mean: unknownLatency}
 }
 
 // SetSlots changes the number of slots; running requests above it go on.
@@ -157,6 +165,16 @@
 	return max(0, min(q.mean, (r.Objective-now)/2))
 }
 
+// Patience returns how long an answer is waited for that can also be had elsewhere: a few times the usual, so that an
+// answer that never comes does not hold the slot of its caller until the deadline.
+// It returns 0 while the usual time of the route is not known.
+func (q *Queue) Patience(route string) time.Duration {
+	if q.samples[route] < patienceSamples {
+		return 0
+	}
+	return max(shortestPatience, patienceFactor*q.latency[route])
+}
+
 // delay estimates when a new request starts, from now. Waiting requests that have missed their objective give way to
 // one that can still meet it.
 func (q *Queue) delay(now time.Duration, r *Request) time.Duration {
@@ -235,6 +253,7 @@
 	q.observe(now)
 	q.running--
 	if latency > 0 {
+		q.samples[route]++
 		q.latency[route] = average(q.latency[route], latency)
 		q.mean = average(q.mean, latency)
 	}
--- a/pkg/forward/controller.go
+++ b/pkg/forward/controller.go
@@ -105,7 +105,11 @@
 	if reason := c.refusal(h.upstream); reason != ReasonNone {
 		return answer{outcome: notRun, reason: reason}
 	}
-	a, sample = c.forward(h, deadline, req, resp, caller)
+	limit := deadline
+	if patience := c.queue.patience(h.route); h.impatient && patience > 0 {
+		limit = min(limit, c.o.Clock.Now()+patience)
+	}
+	a, sample = c.forward(h, deadline, limit, req, resp, caller)
 	return a
 }
 
@@ -116,18 +120,19 @@
 	return Overloaded
 }
 
-// forward sends the request once and returns its service time, or 0 when it is no sample.
-func (c *controller) forward(h *hop, deadline time.Duration, req *fasthttp.Request, resp *fasthttp.Response, caller peer.Caller) (answer, time.Duration) {
+// forward sends the request once, waits for its answer until the limit, and returns its service time, or 0 when it is no
+// sample.
+func (c *controller) forward(h *hop, deadline, limit time.Duration, req *fasthttp.Request, resp *fasthttp.Response, caller peer.Caller) (answer, time.Duration) {
 	start := c.o.Clock.Now()
 	left := deadline - start
 	if left < minDeadline {
 		return answer{outcome: notRun, reason: Expired}, 0
 	}
-	until := time.Now().Add(left)
+	until := time.Now().Add(limit - start)
 	conn, err := c.pool.Connect(peer.Target{Address: c.o.Settings.UpstreamAddress}, until, false)
 	if err != nil {
 		if !errors.Is(err, peer.ErrTooMany) && !errors.Is(err, peer.ErrExpired) {
-			c.health.failed(err)
+			c.health.unreachable(err)
 		}
 		return answer{outcome: notRun, reason: Unreachable}, 0
 	}
@@ -143,7 +148,11 @@
 	}
 	sent, err := conn.Send(req, resp, until, watch)
 	if sent != peer.Answered {
-		return c.failed(sent, err), 0
+		if a := c.failed(sent, err); a.reason != TimedOut || limit == deadline {
+			return a, 0
+		}
+		// The upstream may be slow rather than have lost the answer, so the time counts as a sample.
+		return answer{outcome: unknown, reason: Lost, arrived: true}, c.o.Clock.Now() - start
 	}
 	if len(resp.Header.Peek(c.o.Headers.NotRun)) > 0 || resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
 		if resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
@@ -160,14 +169,14 @@
 	case errors.Is(err, peer.ErrExpired):
 		return answer{outcome: notRun, reason: Expired}
 	case sent == peer.NothingSent:
-		c.health.failed(err)
+		c.health.broken(err)
 		return answer{outcome: notRun, reason: Unreachable}
 	case errors.Is(err, peer.ErrCallerGone):
 		return answer{outcome: unknown, reason: CallerGone, arrived: true}
 	case peer.IsTimeout(err):
 		return answer{outcome: unknown, reason: TimedOut, arrived: true}
 	}
-	c.health.failed(err)
+	c.health.broken(err)
 	return answer{outcome: unknown, reason: Lost, arrived: true}
 }
 
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -277,6 +277,7 @@
 	h := hop{
 		upstream: u.ID, route: c.route.Name, remaining: c.deadline - now - answerMargin, objective: c.objective - now,
 		priority: c.priority, idempotent: c.route.Idempotent, strict: strict,
+		impatient: c.route.Idempotent && c.sends+1 < c.route.MaxAttempts && c.n.budgets.has(c.service),
 	}
 	c.n.sent(u.ID)
 	c.last = c.n.send(u, &h, now, req, resp, c)
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -32,9 +32,11 @@
 	address string
 	runs    atomic.Int64
 	cold    atomic.Int64
-	mu      sync.Mutex
-	serve   func(ctx *fasthttp.RequestCtx)
-	seen    []string
+	// checkDelay is how long a health check takes, in nanoseconds.
+	checkDelay atomic.Int64
+	mu         sync.Mutex
+	serve      func(ctx *fasthttp.RequestCtx)
+	seen       []string
 }
 
 func newUpstreamStub(t *testing.T, id, address string) *upstreamStub {
@@ -58,6 +60,7 @@
 
 func (u *upstreamStub) handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) == "/health" {
+		time.Sleep(time.Duration(u.checkDelay.Load()))
 		ctx.Response.Header.Set(names.UpstreamID, u.id)
 		ctx.Response.Header.Set(names.ColdMS, fmt.Sprint(u.cold.Load()))
 		return
--- a/pkg/forward/health.go
+++ b/pkg/forward/health.go
@@ -45,12 +45,20 @@
 	return h.id
 }
 
-// failed notes that a connection to the upstream failed. It may have started again, and would then be cold.
-func (h *health) failed(err error) {
-	h.o.Log.WithError(err).WithField("upstream", h.upstream()).Warn("lost a connection to the upstream; checking it")
+// unreachable notes that the upstream accepted no connection. It is not used until it answers a check: it may have
+// started again, and would then be cold.
+func (h *health) unreachable(err error) {
+	h.o.Log.WithError(err).WithField("upstream", h.upstream()).Warn("the upstream accepts no connection; checking it")
 	h.forget()
 }
 
+// broken notes that a connection broke during a request. An upstream that goes on running and loses some answers stays
+// in use; one that has started again is recognised by the check.
+func (h *health) broken(err error) {
+	h.o.Log.WithError(err).WithField("upstream", h.upstream()).Warn("a connection to the upstream broke; checking it")
+	h.check()
+}
+
 // replaced notes that another upstream answered at the address.
 func (h *health) replaced() {
 	h.o.Log.WithField("upstream", h.upstream()).Warn("another upstream answers at the address; checking it")
--- a/pkg/forward/node.go
+++ b/pkg/forward/node.go
@@ -248,8 +248,10 @@
 		n.table.Reported(now, id, queueLoad(a.load))
 	}
 	switch a.reason {
-	case Unreachable, Leaving, WrongUpstream, Evacuated:
+	case Unreachable, Leaving, Evacuated:
 		n.table.Silent(now, id)
+	case WrongUpstream:
+		n.table.Unsure(now, id)
 	case Shed, Lost:
 		n.table.Outcome(id, true)
 	case ReasonNone:
--- a/pkg/forward/node_test.go
+++ b/pkg/forward/node_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,3 +176,60 @@
 	}
 	return int64(code)
 }
+
+// An upstream that loses some of its answers serves the others. Each lost answer took it out of use, for longer each
+// time, and its load overwhelmed the rest of the service.
+func TestAnUpstreamThatLosesSomeAnswersStaysInUse(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, func(r *mesh.Route) { r.MaxAttempts = 1 })
+	var count atomic.Int64
+	m.upstreams[1].set(func(ctx *fasthttp.RequestCtx) {
+		if count.Add(1)%2 == 0 {
+			_ = ctx.Conn().Close()
+		}
+	})
+	m.upstreams[0].set(func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set(names.NotRun, "1")
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	})
+	m.upstreams[1].checkDelay.Store(int64(100 * time.Millisecond))
+	asked := int64(0)
+	for i := range 60 {
+		resp := m.send(1, request{method: "POST", path: "/write/1", id: fmt.Sprint("w", i)})
+		if code := resp.StatusCode(); code != fasthttp.StatusServiceUnavailable {
+			asked++
+		}
+	}
+	// Half of the requests that the failing upstream gets are lost; none is refused for it.
+	g.Expect(m.upstreams[1].runs.Load()).To(BeNumerically(">=", 30))
+	g.Expect(asked).To(BeNumerically(">=", 30))
+}
+
+// An upstream runs requests and some answers never come. A call that waits for one until its deadline keeps its
+// parent's slot, and then fails it.
+func TestAnAnswerThatDoesNotComeIsSoughtElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	for i := range 20 {
+		m.send(0, request{method: "GET", path: "/inner/1", id: fmt.Sprint("warm", i), header: map[string]string{names.Key: ""}})
+	}
+	var lost atomic.Bool
+	for _, u := range m.upstreams {
+		u.set(func(*fasthttp.RequestCtx) {
+			if !lost.Swap(true) {
+				time.Sleep(3 * time.Second)
+			}
+		})
+	}
+	start := time.Now()
+	resp := m.send(0, request{method: "GET", path: "/inner/1", id: "a", header: map[string]string{names.Key: ""}})
+	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusOK))
+	g.Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+	// One that may run only once waits for its own answer.
+	m.upstreams[0].set(func(*fasthttp.RequestCtx) { time.Sleep(600 * time.Millisecond) })
+	m.upstreams[1].set(func(*fasthttp.RequestCtx) { time.Sleep(600 * time.Millisecond) })
+	before := m.runs()
+	written := m.send(0, request{method: "POST", path: "/write/1", id: "w"})
+	g.Expect(written.StatusCode()).To(Equal(fasthttp.StatusOK), m.logs.String())
+	g.Expect(m.runs() - before).To(Equal(int64(1)))
+}
