--- a/decision/feeding/readers.go
+++ b/decision/feeding/readers.go
@@ -74,6 +74,8 @@
 	own        string
 	dataCentre string
 	suspended  map[string]time.Duration
+	// reader is true while others follow this node.
+	reader bool
 	// meetAt is when a reader next asks the meeting point.
 	meetAt time.Duration
 }
@@ -86,11 +88,12 @@
 // Next returns the source to ask now: the store for a reader, a reader for others, and the store when no reader is
 // known to answer.
 func (s *Sources) Next(now time.Duration, members []Member) string {
+	order := s.order(now, members)
 	if vm := s.meetingPoint(members); vm != Store && now >= s.meetAt && now >= s.suspended[vm] {
 		s.meetAt = now + changeInterval
 		return vm
 	}
-	for _, name := range s.order(now, members) {
+	for _, name := range order {
 		if now >= s.suspended[name] {
 			return name
 		}
@@ -113,6 +116,7 @@
 			wide = append(wide, r.VM)
 		}
 	}
+	s.reader = self >= 0
 	s.spread(now, near)
 	s.spread(now, wide)
 	wide = wide[:min(len(wide), otherReaders)]
@@ -146,5 +150,8 @@
 	}
 }
 
+// Reader reports whether other nodes follow this one, by the members of the last Next.
+func (s *Sources) Reader() bool { return s.reader }
+
 // Failed passes a source over for some time.
 func (s *Sources) Failed(now time.Duration, name string) { s.suspended[name] = now + suspension }
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -18,6 +18,8 @@
 	// readWait is how long a source holds a read without a change. A reader that lost the store, or a connection that
 	// went silent, is noticed after it.
 	readWait = 500 * time.Millisecond
+	// relayWait is the same for a reader that follows another one. Its own followers add their wait to its age.
+	relayWait = 150 * time.Millisecond
 	// batchTime is the least time between two reads, so that a series of changes costs few calls. It is a small part
 	// of the 2 s in which a version has to be in force.
 	batchTime = 100 * time.Millisecond
@@ -171,7 +173,12 @@
 			return
 		case <-wait.C:
 			started = m.o.Clock.Now()
-			go m.read(answers, m.sources.Next(started, m.members()), m.position())
+			source := m.sources.Next(started, m.members())
+			limit := readWait
+			if source != feeding.Store && m.sources.Reader() {
+				limit = relayWait
+			}
+			go m.read(answers, source, m.position(), limit)
 		case a := <-answers:
 			if m.take(a) {
 				retry = firstRetry
@@ -223,12 +230,12 @@
 	return members
 }
 
-func (m *Maintainer) read(answers chan<- answer, name string, after Position) {
+func (m *Maintainer) read(answers chan<- answer, name string, after Position, wait time.Duration) {
 	source := m.o.Store
 	if name != feeding.Store {
 		source = m.o.Peer(name)
 	}
-	delta, err := source.Read(after, readWait)
+	delta, err := source.Read(after, wait)
 	if err == nil && delta.Age > feeding.StaleAge {
 		err = ErrStale
 	}
