--- a/decision/feeding/readers_test.go
+++ b/decision/feeding/readers_test.go
@@ -9,8 +9,9 @@
 )
 
 func fleet(perPlace int) []Member {
-	var members []Member
-	for _, place := range []string{"north", "south", "west"} {
+	places := []string{"north", "south", "west"}
+	members := make([]Member, 0, len(places)*perPlace)
+	for _, place := range places {
 		for i := range perPlace {
 			members = append(members, Member{VM: fmt.Sprintf("%s-%d", place, i), DataCentre: place, Wide: true})
 		}
--- a/decision/slots/queue_test.go
+++ b/decision/slots/queue_test.go
@@ -56,8 +56,11 @@
 	heldLong int
 }
 
-func newDay(slots int) *day {
-	return &day{queue: NewQueue(slots), random: rand.New(rand.NewPCG(3, 4)), waiting: map[uint64]client{}}
+// slotCount is the number of slots of the upstream.
+const slotCount = 9
+
+func newDay() *day {
+	return &day{queue: NewQueue(slotCount), random: rand.New(rand.NewPCG(3, 4)), waiting: map[uint64]client{}}
 }
 
 func (d *day) at(when time.Duration, run func(now time.Duration)) {
@@ -147,10 +150,10 @@
 // must not take the places of those that can still be in time.
 func TestALastingOverloadServesWhatCanBeInTime(t *testing.T) {
 	g := NewWithT(t)
-	d := newDay(9)
+	d := newDay()
 	d.arrivals(0, 60*time.Second, 150)
 	d.play()
-	capacity := 60 * 9 / work.Seconds()
+	capacity := 60 * slotCount / work.Seconds()
 	t.Logf("in time %d, late %d, refused %d, held long %d of %.0f", d.inTime, d.late, d.refused, d.heldLong, capacity)
 	g.Expect(float64(d.inTime)).To(BeNumerically(">=", 0.75*capacity))
 	// A caller that cannot be served learns it at once.
@@ -160,7 +163,7 @@
 // A burst that lasts a few seconds: what cannot be in time is still served before its deadline.
 func TestAShortBurstIsServedLate(t *testing.T) {
 	g := NewWithT(t)
-	d := newDay(9)
+	d := newDay()
 	d.arrivals(0, 10*time.Second, 45)
 	d.arrivals(4*time.Second, 5*time.Second, 110)
 	d.play()
@@ -172,7 +175,7 @@
 // for nothing. A service that is overloaded by other requests has to run them all the same.
 func TestCallsOfRunningRequestsAreServedInAnOverload(t *testing.T) {
 	g := NewWithT(t)
-	d := newDay(9)
+	d := newDay()
 	d.arrivals(0, 20*time.Second, 150)
 	refused, served := 0, 0
 	for i := range 1200 {
@@ -210,7 +213,7 @@
 // Urgent requests are in time in an overload by others.
 func TestUrgentRequestsAreInTimeInAnOverload(t *testing.T) {
 	g := NewWithT(t)
-	d := newDay(9)
+	d := newDay()
 	d.arrivals(0, 20*time.Second, 150)
 	urgent := &day{queue: d.queue, random: d.random, waiting: map[uint64]client{}, nextID: 1 << 32}
 	const sent = 360
@@ -238,7 +241,7 @@
 // An upstream that has just started crashes at a rate well above what it bears.
 func TestAColdUpstreamGetsNoMoreThanItBears(t *testing.T) {
 	g := NewWithT(t)
-	d := newDay(9)
+	d := newDay()
 	const perSecond = 13
 	d.queue.SetCold(0, 5*time.Second, perSecond)
 	d.arrivals(0, 5*time.Second, 100)
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -26,12 +26,14 @@
 // serveMetrics writes all metrics as text.
 func (n *Node) serveMetrics(ctx *fasthttp.RequestCtx) {
 	load := n.controller.queue.load()
-	lines := []string{
+	const own = 4
+	lines := make([]string, 0, own)
+	lines = append(lines,
 		fmt.Sprintf("%squeue_running %d", metricPrefix, load.Running),
 		fmt.Sprintf("%squeue_waiting %d", metricPrefix, load.Waiting),
 		fmt.Sprintf("%squeue_slots %d", metricPrefix, load.Slots),
 		fmt.Sprintf("%sstore_age_seconds %.3f", metricPrefix, n.o.StoreAge().Seconds()),
-	}
+	)
 	n.recorder.registry.Each(func(name string, metric any) {
 		switch m := metric.(type) {
 		case metrics.Counter:
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -137,8 +137,10 @@
 	if len(e.Value) <= patchAbove {
 		return
 	}
-	list := append(f.earlier[e.Key], e)
-	f.earlier[e.Key] = list[max(0, len(list)-keptValues):]
+	f.earlier[e.Key] = append(f.earlier[e.Key], e)
+	if list := f.earlier[e.Key]; len(list) > keptValues {
+		f.earlier[e.Key] = list[len(list)-keptValues:]
+	}
 }
 
 func (f *Feed) put(e Entry) []Entry {
