--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -49,10 +49,12 @@
 
 func histogramLines(name string, h metrics.Histogram) []string {
 	base, labels, _ := strings.Cut(strings.TrimSuffix(name, "}"), "{")
-	lines := []string{
+	const totals = 2
+	lines := make([]string, 0, totals+len(quantiles))
+	lines = append(lines,
 		fmt.Sprintf("%s_count{%s} %d", base, labels, h.Count()),
 		fmt.Sprintf("%s_max{%s} %d", base, labels, h.Max()),
-	}
+	)
 	for i, value := range h.Percentiles(quantiles) {
 		lines = append(lines, fmt.Sprintf("%s{%s,quantile=%q} %.0f", base, labels, fmt.Sprint(quantiles[i]), value))
 	}
--- a/pkg/forward/node.go
+++ b/pkg/forward/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,7 +171,7 @@
 
 func (n *Node) server(handler fasthttp.RequestHandler, idle time.Duration) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                      handler,
+		Handler:                      n.recovered(handler),
 		Logger:                       quiet{n.o.Log},
 		ReadBufferSize:               headerSize,
 		ReadTimeout:                  readTimeout,
@@ -186,6 +187,21 @@
 	}
 }
 
+// recovered keeps a fault in one request from ending the process. The request may have been sent, so its answer promises
+// nothing.
+func (n *Node) recovered(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			if fault := recover(); fault != nil {
+				n.o.Log.WithField("fault", fault).WithField("stack", string(debug.Stack())).Error("a request failed inside the node")
+				writeError(&ctx.Response, Lost, 0)
+				ctx.Response.SetConnectionClose()
+			}
+		}()
+		handler(ctx)
+	}
+}
+
 // Ready reports whether the node can serve callers.
 func (n *Node) Ready() bool { return !n.stopping.Load() && n.o.View().Config != nil }
 
@@ -213,6 +229,7 @@
 		ctx.Request.SetRequestURIBytes(ctx.Request.Header.RequestURI())
 		ctx.Request.Header.SetNoDefaultContentType(true)
 		a = n.controller.serve(h, n.o.Clock.Now(), &ctx.Request, &ctx.Response, peer.NewCaller(ctx.Conn()))
+		n.recorder.decided(string(ctx.Request.Header.Peek(n.o.Headers.RequestID)), h, a)
 	}
 	if a.outcome != ran {
 		ctx.Response.Reset()
--- a/pkg/forward/node_test.go
+++ b/pkg/forward/node_test.go
@@ -233,3 +233,13 @@
 	g.Expect(written.StatusCode()).To(Equal(fasthttp.StatusOK), m.logs.String())
 	g.Expect(m.runs() - before).To(Equal(int64(1)))
 }
+
+// A fault in one request must neither end the process nor claim that the request did not run.
+func TestAFaultInOneRequestIsContained(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, nil)
+	ctx := &fasthttp.RequestCtx{}
+	m.nodes[0].recovered(func(*fasthttp.RequestCtx) { panic("fault") })(ctx)
+	g.Expect(ctx.Response.StatusCode()).To(Equal(fasthttp.StatusBadGateway))
+	g.Expect(m.logs.String()).To(ContainSubstring("a request failed inside the node"))
+}
--- a/pkg/forward/recorder.go
+++ b/pkg/forward/recorder.go
@@ -61,7 +61,10 @@
 		"asked": c.asked, "sends": c.sends, "upstream": c.to, "priority": c.priority,
 	}
 	if c.route != nil {
-		fields["route"], fields["left_us"] = c.route.Name, (c.deadline - now).Microseconds()
+		fields["route"] = c.route.Name
+	}
+	if c.deadline > 0 {
+		fields["left_us"] = (c.deadline - now).Microseconds()
 	}
 	if c.team != nil {
 		fields["team"] = c.team.Name
@@ -76,6 +79,19 @@
 	r.log.WithFields(fields).Info("request ended")
 }
 
+// decided records what the controller made of a forwarded request that its upstream did not answer.
+func (r *recorder) decided(id string, h *hop, a answer) {
+	if a.outcome == ran || !r.allowed(r.clock.Now(), false) {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"request": id, "upstream": h.upstream, "route": h.route, "reason": a.reason, "may_have_run": a.outcome == unknown,
+		"reached_upstream": a.arrived, "left_us": h.remaining.Microseconds(), "priority": h.priority, "strict": h.strict,
+		"running": a.load.Running, "waiting": a.load.Waiting, "slots": a.load.Slots, "cold": a.load.Cold,
+		"mean_us": a.load.Mean.Microseconds(), "after_us": a.after.Microseconds(),
+	}).Info("upstream did not answer a forwarded request")
+}
+
 func (r *recorder) histogram(name string) metrics.Histogram {
 	if h, ok := r.registry.Get(name).(metrics.Histogram); ok {
 		return h
