--- a/decision/retry/budget.go
+++ b/decision/retry/budget.go
@@ -39,6 +39,9 @@
 // Deposit counts a first attempt.
 func (b *Budget) Deposit() { b.tokens = min(b.capacity, b.tokens+share) }
 
+// Refund returns an attempt that was withdrawn and not made.
+func (b *Budget) Refund() { b.tokens = min(b.capacity, b.tokens+1) }
+
 // nearlyOne allows for the rounding errors of ten deposits, which must not cost the attempt they earned.
 const nearlyOne = 1 - 1e-9
 
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -40,6 +40,13 @@
 	return b.get(service).Withdraw(now)
 }
 
+// refund returns a further attempt that was not made.
+func (b *budgets) refund(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.get(service).Refund()
+}
+
 // has reports whether there is a further attempt.
 func (b *budgets) has(service string) bool {
 	b.mu.Lock()
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -51,6 +51,10 @@
 	to    string
 	// held is a failure of an upstream that is delivered when no further attempt gets a response.
 	held *fasthttp.Response
+	// mayHaveRun is true once an attempt has ended without an answer that tells.
+	mayHaveRun bool
+	// reserved is true while a further attempt is taken from the retry budget in advance.
+	reserved bool
 }
 
 // result is what the caller gets: the response of an upstream, or a reason.
@@ -92,7 +96,7 @@
 	if config == nil {
 		return result{NotReady, notReadyRetry}
 	}
-	if !plainFraming(req) {
+	if !peer.PlainFraming(req) {
 		return result{reason: Malformed}
 	}
 	path, _, _ := bytes.Cut(req.Header.RequestURI(), []byte{'?'})
@@ -166,27 +170,6 @@
 	return destinations[len(destinations)-1].Service
 }
 
-// plainFraming refuses requests whose end two parsers could see at different places (RFC 9112, section 6.3).
-func plainFraming(req *fasthttp.Request) bool {
-	uri := req.Header.RequestURI()
-	if len(uri) == 0 || uri[0] != '/' {
-		return false
-	}
-	lengths, encodings := 0, 0
-	for raw := req.Header.RawHeaders(); len(raw) > 0; {
-		var line []byte
-		line, raw, _ = bytes.Cut(raw, []byte{'\n'})
-		name, _, _ := bytes.Cut(line, []byte{':'})
-		switch {
-		case bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")):
-			lengths++
-		case bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")):
-			encodings++
-		}
-	}
-	return lengths+encodings <= 1
-}
-
 // clean leaves what the upstream may see and sets what the node vouches for.
 func (c *call) clean(req *fasthttp.Request) {
 	names := &c.n.o.Headers
@@ -251,6 +234,9 @@
 }
 
 func (c *call) refused(after time.Duration) result {
+	if c.mayHaveRun {
+		return result{reason: Lost}
+	}
 	reason := c.last.reason
 	switch {
 	case c.asked == 0:
@@ -277,33 +263,57 @@
 	h := hop{
 		upstream: u.ID, route: c.route.Name, remaining: c.deadline - now - answerMargin, objective: c.objective - now,
 		priority: c.priority, idempotent: c.route.Idempotent, strict: strict,
-		impatient: c.route.Idempotent && c.sends+1 < c.route.MaxAttempts && c.n.budgets.has(c.service),
+		impatient: c.reserve(u, now),
 	}
 	c.n.sent(u.ID)
 	c.last = c.n.send(u, &h, now, req, resp, c)
 	c.n.ended(u.ID, c.last)
+	c.mayHaveRun = c.mayHaveRun || c.last.outcome == unknown
 	if c.last.arrived {
 		c.sends++
 		c.tried[u.ID] = true
 	}
-	return c.conclude(resp)
+	done, r = c.conclude(resp)
+	if done && c.reserved {
+		c.reserved = false
+		c.n.budgets.refund(c.service)
+	}
+	return done, r
+}
+
+// reserve takes a further attempt in advance and reports whether the upstream need not be waited for to the end. An
+// attempt that is broken off for impatience must be followed by another one: the upstream may still be at work on it.
+func (c *call) reserve(u *mesh.Upstream, now time.Duration) bool {
+	if c.reserved {
+		return true
+	}
+	if !c.route.Idempotent || c.n.stopping.Load() || c.sends+1 >= c.route.MaxAttempts || c.asked >= maxAsked ||
+		!c.n.others(c, u.ID) {
+		return false
+	}
+	c.reserved = c.n.budgets.extra(c.service, now)
+	return c.reserved
 }
 
 // mayRepeat reports whether the request may be sent to a further upstream.
 func (c *call) mayRepeat(now time.Duration) bool {
+	if c.reserved {
+		c.reserved = false
+		return true
+	}
 	return c.sends < c.route.MaxAttempts && c.n.budgets.extra(c.service, now)
 }
 
 // stopped ends a call that an upstream refused or failed and that may not be sent again.
 func (c *call) stopped() result {
-	if c.last.outcome == unknown {
+	if c.mayHaveRun {
 		return result{reason: Lost}
 	}
 	return result{Shed, shortestRetryAfter}
 }
 
 func (c *call) expired() result {
-	if c.last.outcome == unknown {
+	if c.mayHaveRun {
 		return result{reason: TimedOut}
 	}
 	return result{Expired, shortestRetryAfter}
@@ -323,7 +333,7 @@
 	case notRun:
 		return c.last.reason == CallerGone, result{reason: CallerGone}
 	}
-	if c.route.Idempotent && c.last.reason == Lost && c.canRepeat() {
+	if c.route.Idempotent && c.last.reason == Lost && (c.reserved || c.canRepeat()) {
 		return false, result{}
 	}
 	return true, result{reason: c.last.reason}
@@ -333,8 +343,8 @@
 // the attempt is made; here it is only looked at, so that a response that is ready is not given up for nothing.
 func (c *call) canRepeat() bool {
 	now := c.n.o.Clock.Now()
-	return c.sends < c.route.MaxAttempts && c.n.budgets.has(c.service) && c.asked < maxAsked &&
-		c.n.others(c) && now-c.arrived < (c.deadline-c.arrived)/2
+	return c.sends < c.route.MaxAttempts && (c.reserved || c.n.budgets.has(c.service)) && c.asked < maxAsked &&
+		c.n.others(c, "") && now-c.arrived < (c.deadline-c.arrived)/2
 }
 
 // sendError translates an error of the connection to another node.
--- a/pkg/forward/node.go
+++ b/pkg/forward/node.go
@@ -276,10 +276,10 @@
 	}
 }
 
-// others reports whether the service has an upstream that has not seen the request.
-func (n *Node) others(c *call) bool {
+// others reports whether the service has an upstream that has not seen the request, beside the one named.
+func (n *Node) others(c *call, beside string) bool {
 	for _, u := range c.view.ByService[c.service] {
-		if !c.tried[u.ID] && !u.Draining && !c.view.Evacuated[u.DataCentre] {
+		if u.ID != beside && !c.tried[u.ID] && !u.Draining && !c.view.Evacuated[u.DataCentre] {
 			return true
 		}
 	}
--- a/pkg/forward/node_test.go
+++ b/pkg/forward/node_test.go
@@ -243,3 +243,22 @@
 	g.Expect(ctx.Response.StatusCode()).To(Equal(fasthttp.StatusBadGateway))
 	g.Expect(m.logs.String()).To(ContainSubstring("a request failed inside the node"))
 }
+
+// A request that is broken off for impatience must be followed by another attempt: an answer of the node in its place
+// gives up work that the upstream was about to finish.
+func TestWithoutBudgetASlowAnswerIsAwaited(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	for i := range 20 {
+		m.send(0, request{method: "GET", path: "/inner/1", id: fmt.Sprint("warm", i), header: map[string]string{names.Key: ""}})
+	}
+	for m.nodes[0].budgets.extra(testService, 0) {
+	}
+	for _, u := range m.upstreams {
+		u.set(func(*fasthttp.RequestCtx) { time.Sleep(700 * time.Millisecond) })
+	}
+	before := m.runs()
+	resp := m.send(0, request{method: "GET", path: "/inner/1", id: "a", header: map[string]string{names.Key: ""}})
+	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusOK))
+	g.Expect(m.runs() - before).To(Equal(int64(1)))
+}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/bamboodeal/bamboodeal/api/config"
 	"github.com/bamboodeal/bamboodeal/api/wire"
+	"github.com/bamboodeal/bamboodeal/pkg/peer"
 )
 
 // Bounds of a call's headers.
@@ -23,27 +24,9 @@
 	bearer = "Bearer "
 )
 
-// checkFraming refuses requests whose end two parsers could see at different places (request smuggling, RFC 9112
-// section 6.3), and those whose target is not a plain path.
+// checkFraming refuses requests whose end or target is in doubt.
 func checkFraming(req *fasthttp.Request) wire.Kind {
-	uri := req.Header.RequestURI()
-	if len(uri) == 0 || uri[0] != '/' {
-		// An absolute target may also carry a user name, which the codec would turn into a header.
-		return wire.MalformedRequest
-	}
-	lengths, encodings := 0, 0
-	for raw := req.Header.RawHeaders(); len(raw) > 0; {
-		var line []byte
-		line, raw, _ = bytes.Cut(raw, []byte{'\n'})
-		name, _, _ := bytes.Cut(line, []byte{':'})
-		switch {
-		case bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")):
-			lengths++
-		case bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")):
-			encodings++
-		}
-	}
-	if lengths+encodings > 1 {
+	if !peer.PlainFraming(req) {
 		return wire.MalformedRequest
 	}
 	return ""
