--- a/decision/allowance/standing.go
+++ b/decision/allowance/standing.go
@@ -6,10 +6,18 @@
 	// LapseTime is how long a holder without contact to the store may still be the one that the others know: their
 	// list drops an upstream after it was silent for three heartbeats, which is 4.5 s.
 	LapseTime = 4 * time.Second
-	// standingTime is how long a question of another node counts.
-	standingTime = 3 * time.Second
+	// standingTime is how long a question of another node counts, and touchTime how old that node's own contact to the
+	// store may be. Together they stay below LapseTime, or nodes that are cut off together would vouch for each other.
+	standingTime = 2 * time.Second
+	touchTime    = 1500 * time.Millisecond
+	// reducedShare is the part of a limit that a holder grants whom the others may have replaced. The tolerance of the
+	// limit also has to cover the burst that it granted before.
+	reducedShare = 0.1
 )
 
+// InTouch reports whether a node whose contact to the store is of this age vouches for a holder.
+func InTouch(storeAge time.Duration) bool { return storeAge < touchTime }
+
 // Standing tells whether a holder may grant the whole rate of its teams. A holder that is cut off together with some
 // other nodes goes on serving them, while the list of the rest has dropped it and another holder grants the same rate.
 // It is not safe for concurrent use.
@@ -50,5 +58,5 @@
 // Reduced is the limit of a holder that may not grant the whole rate; together with the holder that the others know it
 // stays within the tolerance of the team's limit.
 func (l Limit) Reduced() Limit {
-	return Limit{Rate: separateShare * l.Rate, Burst: separateShare * l.Burst}
+	return Limit{Rate: reducedShare * l.Rate, Burst: reducedShare * l.Burst}
 }
--- a/decision/allowance/standing_test.go
+++ b/decision/allowance/standing_test.go
@@ -38,3 +38,17 @@
 	}
 	g.Expect(s.Whole(time.Minute, time.Hour, "a", vms)).To(BeTrue())
 }
+
+// Nodes that are cut off together vouched for their holder for 7 s, while the list of the rest drops it after 4.5 s.
+func TestNodesThatAreCutOffTogetherVouchForAShortTime(t *testing.T) {
+	g := NewWithT(t)
+	s := NewStanding()
+	const cut = time.Minute
+	for now := cut; now < cut+5*time.Second; now += 100 * time.Millisecond {
+		s.Asked(now, "b", InTouch(now-cut))
+		if s.Whole(now, now-cut, "a", vms) {
+			g.Expect(now - cut).To(BeNumerically("<", 4500*time.Millisecond))
+		}
+	}
+	g.Expect(s.Whole(cut+4500*time.Millisecond, 4500*time.Millisecond, "a", vms)).To(BeFalse())
+}
--- a/pkg/forward/lease.go
+++ b/pkg/forward/lease.go
@@ -21,8 +21,6 @@
 	// leaseTimeout bounds one question to a holder. A VM whose share of a processor is used up stands still for up to
 	// a tenth of a second.
 	leaseTimeout = 250 * time.Millisecond
-	// strandedAge without contact to the store means that the node has lost it: sources are read twice a second.
-	strandedAge = 1500 * time.Millisecond
 	// holderPause is how long a holder that did not answer is not asked.
 	holderPause = 300 * time.Millisecond
 )
@@ -178,7 +176,7 @@
 
 // serveSeparately decides on all waiting requests by the node's own share.
 func (l *leases) serveSeparately(limit allowance.Limit, b *borrowed) {
-	now, nodes, stranded := l.o.Clock.Now(), len(l.o.View().VMs), l.o.StoreAge() > strandedAge
+	now, nodes, stranded := l.o.Clock.Now(), len(l.o.View().VMs), !allowance.InTouch(l.o.StoreAge())
 	for _, w := range b.waiting {
 		w <- b.TakeSeparately(now, limit, nodes, stranded)
 	}
@@ -199,7 +197,7 @@
 			return leaseAnswer{}, peer.ErrUnresponsive
 		}
 		got, err := l.call(holder, leaseRequest{
-			Team: team, Want: want, InTouch: l.o.StoreAge() < allowance.LapseTime,
+			Team: team, Want: want, InTouch: allowance.InTouch(l.o.StoreAge()),
 		})
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			continue
