--- a/pkg/forward/options.go
+++ b/pkg/forward/options.go
@@ -54,9 +54,6 @@
 	UpstreamAddress string
 	// StopGrace is the time between the stop signal and the kill.
 	StopGrace time.Duration
-	// RetrySlack is the number of extra sends in RetryWindow that all nodes together may make beside their share.
-	RetrySlack  float64
-	RetryWindow time.Duration
 	// LinkMbps is the rate of the VM's link in Mbit/s.
 	LinkMbps float64
 	// MemoryLimit is the memory of the VM in bytes.
