Follow readers of other data centres when those nearby lose the store

Cause: without wide links a node knew only the reader of its own data centre and the store; with some, it kept to two readers elsewhere for 5 s. Ruled out: the links between the nodes, which answer within 40 ms in the trace.

--- a/decision/feeding/readers.go
+++ b/decision/feeding/readers.go
@@ -3,6 +3,7 @@
 package feeding
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -16,7 +17,7 @@
 	// changeInterval is how often a follower goes on to the next reader of its data centre. What it knows of the links
 	// of VMs thereby spreads over the readers, and all come to the same choice.
 	changeInterval = 5 * time.Second
-	// otherReaders is the number of readers in other data centres that a node tries.
+	// otherReaders is the number of readers in other data centres, with wide links and with narrow ones, that a node tries.
 	otherReaders = 2
 	// suspension is how long a source that failed is passed over while another one answers.
 	suspension = time.Second
@@ -76,6 +77,8 @@
 	suspended  map[string]time.Duration
 	// reader is true while others follow this node.
 	reader bool
+	// failures counts the readers that failed.
+	failures uint64
 	// meetAt is when a reader next asks the meeting point.
 	meetAt time.Duration
 }
@@ -102,10 +105,11 @@
 }
 
 // order lists the sources of this node. A reader with a narrow link passes on what a wide one of another data centre
-// reads; it never follows another narrow one, which might follow it in turn.
+// reads; it follows another narrow one, which might follow it in turn, only when it has lost the store: two that follow
+// each other notice by the age of what they hear.
 func (s *Sources) order(now time.Duration, members []Member) []string {
 	readers := Readers(members, s.dataCentre)
-	self, near, wide := -1, []string(nil), []string(nil)
+	self, near, wide, narrow := -1, []string(nil), []string(nil), []string(nil)
 	for i, r := range readers {
 		switch {
 		case r.VM == s.own:
@@ -114,19 +118,23 @@
 			near = append(near, r.VM)
 		case r.Wide:
 			wide = append(wide, r.VM)
+		default:
+			narrow = append(narrow, r.VM)
 		}
 	}
 	s.reader = self >= 0
 	s.spread(now, near)
-	s.spread(now, wide)
+	s.rotate(wide)
+	s.rotate(narrow)
 	wide = wide[:min(len(wide), otherReaders)]
+	narrow = narrow[:min(len(narrow), otherReaders)]
 	switch {
 	case self < 0:
-		return append(append(near, wide...), Store)
+		return slices.Concat(near, wide, narrow, []string{Store})
 	case readers[self].Wide || len(wide) == 0:
-		return append([]string{Store}, wide...)
+		return slices.Concat([]string{Store}, wide, narrow)
 	}
-	return append(wide, Store)
+	return slices.Concat(wide, []string{Store}, narrow)
 }
 
 // meetingPoint returns the VM where nodes of a data centre learn which of them have wide links. Readers that know only
@@ -150,8 +158,22 @@
 	}
 }
 
+// rotate starts with another one after each failure, so that a node that has lost its own readers tries all others
+// within a few attempts.
+func (s *Sources) rotate(names []string) {
+	if len(names) > 1 {
+		first := int((rank(s.own) + s.failures) % uint64(len(names)))
+		copy(names, slices.Concat(names[first:], names[:first]))
+	}
+}
+
 // Reader reports whether other nodes follow this one, by the members of the last Next.
 func (s *Sources) Reader() bool { return s.reader }
 
 // Failed passes a source over for some time.
-func (s *Sources) Failed(now time.Duration, name string) { s.suspended[name] = now + suspension }
+func (s *Sources) Failed(now time.Duration, name string) {
+	s.suspended[name] = now + suspension
+	if name != Store {
+		s.failures++
+	}
+}
--- a/decision/feeding/readers_test.go
+++ b/decision/feeding/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,3 +126,42 @@
 	}
 	g.Expect(asked).To(HaveKey(Store))
 }
+
+// Whole data centres lost the store together: their nodes knew no reader elsewhere while no link was known to be wide,
+// and served on an old view for as long as they were cut off.
+func TestReadersElsewhereAreTriedBeforeGivingUp(t *testing.T) {
+	g := NewWithT(t)
+	members := fleet(4)
+	for i := range members {
+		members[i].Wide = false
+	}
+	for _, m := range members[:4] {
+		s := NewSources(m.VM, m.DataCentre)
+		s.Next(0, members)
+		for range 3 {
+			source := s.Next(0, members)
+			if !strings.HasPrefix(source, "north") && source != Store {
+				break
+			}
+			s.Failed(0, source)
+		}
+		g.Expect(s.Next(0, members)).To(SatisfyAny(HavePrefix("south"), HavePrefix("west")), m.VM)
+	}
+}
+
+// A node stayed with the same two readers of other data centres for 5 s while both were cut off like itself.
+func TestAllReadersElsewhereAreTriedSoon(t *testing.T) {
+	g := NewWithT(t)
+	members := fleet(60)
+	alive := Readers(members, "south")[1].VM
+	s := NewSources("south-40", "south")
+	s.Next(0, members)
+	const step = 100 * time.Millisecond
+	now := time.Duration(0)
+	for source := ""; source != alive; now += step {
+		g.Expect(now).To(BeNumerically("<", 2*time.Second))
+		if source = s.Next(now, members); source != alive {
+			s.Failed(now, source)
+		}
+	}
+}
