Send nodes with an old list to the holder of a team's limit

Cause: the upstream beside a holder leaves the list of VMs while its node lives. Nodes that had lost the store went on asking that node, which granted them the whole rate as a substitute, while the others drew the same rate from the new holder. The times after which a holder may have been replaced were fixed for heartbeats of 1.5 s; entries lapse sooner with 0.87 s. A node that changed its source after a pause also kept removed upstreams for 2.5 s, although its new source had seen the removal. Change: a node in contact with the store names the holder to one that is not; the times follow from heartbeat_s; a source that was in contact all the while says so and its removals act at once. Ruled out: the reduced share, which the trace shows unused, and the burst.

--- a/cmd/bamboodeal-sidecar/main.go
+++ b/cmd/bamboodeal-sidecar/main.go
@@ -85,7 +85,8 @@
 	store := platform.NewStore(s.Store, log)
 	maintainer := mesh.NewMaintainer(mesh.MaintainerOptions{
 		VM: mesh.SplitIP(s.Node.PeerAddress), DataCentre: s.Node.DataCentre, UpstreamAddress: s.Node.UpstreamAddress,
-		WideLink: s.Node.LinkMbps >= wideLinkMbps, Store: store, Decode: store.Decode, Clock: c, Log: log,
+		Heartbeat: s.Node.Heartbeat, WideLink: s.Node.LinkMbps >= wideLinkMbps,
+		Store: store, Decode: store.Decode, Clock: c, Log: log,
 		Peer:   func(vm string) mesh.Source { return node.Reader(vm) },
 		OnView: func(v *mesh.View) { node.ViewChanged(v) },
 	})
--- a/decision/allowance/standing.go
+++ b/decision/allowance/standing.go
@@ -1,35 +1,46 @@
 package allowance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// LapseTime is how long a holder without contact to the store may still be the one that the others know: their
-	// list drops an upstream after it was silent for three heartbeats, which is 4.5 s.
-	LapseTime = 4 * time.Second
-	// standingTime is how long a question of another node counts, and touchTime how old that node's own contact to the
-	// store may be. Together they stay below LapseTime, or nodes that are cut off together would vouch for each other.
-	standingTime = 2 * time.Second
-	touchTime    = 1500 * time.Millisecond
+	// lapseBeats is the silence, in heartbeats, after which the store may remove the entry of an upstream: it waits for
+	// three, the first of which may be nearly over when the contact breaks.
+	lapseBeats = 2.5
+	// standingBeats is how long a question of another node counts, and touchBeats how old that node's own contact to
+	// the store may be, in heartbeats. Together they stay below lapseBeats, or nodes that are cut off together would
+	// vouch for each other.
+	standingBeats = 1.25
+	touchBeats    = 1.0
 	// reducedShare is the part of a limit that a holder grants whom the others may have replaced. The tolerance of the
 	// limit also has to cover the burst that it granted before.
 	reducedShare = 0.1
 )
 
+// Contact judges the age of a node's contact to the store. Heartbeat is the interval in which the upstreams report
+// to the store.
+type Contact struct{ Heartbeat time.Duration }
+
+func (c Contact) beats(n float64) time.Duration { return time.Duration(n * float64(c.Heartbeat)) }
+
 // InTouch reports whether a node whose contact to the store is of this age vouches for a holder.
-func InTouch(storeAge time.Duration) bool { return storeAge < touchTime }
+func (c Contact) InTouch(storeAge time.Duration) bool { return storeAge < c.beats(touchBeats) }
 
 // Standing tells whether a holder may grant the whole rate of its teams. A holder that is cut off together with some
 // other nodes goes on serving them, while the list of the rest has dropped it and another holder grants the same rate.
 // It is not safe for concurrent use.
 type Standing struct {
+	contact Contact
 	// confirmed is when a node in contact with the store last asked this one, and so knows it as the holder.
 	confirmed time.Duration
 	heard     map[string]time.Duration
 }
 
 // NewStanding returns the standing of a node that has heard from no other.
-func NewStanding() *Standing {
-	return &Standing{confirmed: -standingTime, heard: map[string]time.Duration{}}
+func NewStanding(c Contact) *Standing {
+	return &Standing{contact: c, confirmed: -c.beats(standingBeats), heard: map[string]time.Duration{}}
 }
 
 // Asked notes a question of another VM; inTouch says that it is in contact with the store.
@@ -43,12 +54,13 @@
 // Whole reports whether the holder may grant the whole rate: in contact with the store, known as the holder to a node
 // that is, or in contact with most VMs while the store is away from all.
 func (s *Standing) Whole(now, storeAge time.Duration, own string, vms []string) bool {
-	if storeAge < LapseTime || now-s.confirmed < standingTime {
+	recent := s.contact.beats(standingBeats)
+	if storeAge < s.contact.beats(lapseBeats) || now-s.confirmed < recent {
 		return true
 	}
 	heard := 0
 	for _, vm := range vms {
-		if at, ok := s.heard[vm]; vm == own || (ok && now-at < standingTime) {
+		if at, ok := s.heard[vm]; vm == own || (ok && now-at < recent) {
 			heard++
 		}
 	}
@@ -60,3 +72,31 @@
 func (l Limit) Reduced() Limit {
 	return Limit{Rate: reducedShare * l.Rate, Burst: reducedShare * l.Burst}
 }
+
+// Asked is a question for tokens of a team as the receiver sees it.
+type Asked struct {
+	Team string
+	// InTouch says that the asking node is in contact with the store, so its list of VMs is recent.
+	InTouch bool
+	// Refused are the VMs that refused the asking node's connection.
+	Refused []string
+}
+
+// Referral returns the VM that a question belongs to, or an empty text if the receiver, whose own VM is given, is to
+// answer it. Only a receiver in contact with the store corrects a node that is not: the upstream beside a holder can
+// leave the list while its node lives, and nodes with the old list would otherwise draw a second rate from it.
+func (c Contact) Referral(q Asked, own string, vms []string, storeAge time.Duration) string {
+	if q.InTouch || !c.InTouch(storeAge) {
+		return ""
+	}
+	left := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		if !slices.Contains(q.Refused, vm) {
+			left = append(left, vm)
+		}
+	}
+	if holder := Holder(q.Team, left); holder != own {
+		return holder
+	}
+	return ""
+}
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -92,8 +92,13 @@
 	upstreams []*upstreamStub
 	logs      *syncBuffer
 	ports     [3]int
+	// stale are the nodes that have lost the store; they keep the view that they had.
+	stale sync.Map
 }
 
+// loseStore leaves a node with its present view while the others go on to new ones.
+func (m *testMesh) loseStore(node int) { m.stale.Store(node, m.view.Load()) }
+
 type syncBuffer struct {
 	mu sync.Mutex
 	b  bytes.Buffer
@@ -198,6 +203,9 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	own := func() *mesh.View {
 		v := *m.view.Load()
+		if old, lost := m.stale.Load(i); lost {
+			v = *old.(*mesh.View)
+		}
 		v.Own = v.ByService[testService][i]
 		return &v
 	}
@@ -205,11 +213,16 @@
 		Settings: Settings{
 			VM: fmt.Sprint("vm", i), DataCentre: "north", Service: testService, CallerAddress: m.address(i, 0),
 			PeerAddress: m.address(i, 1), ReadyAddress: m.address(i, 2), UpstreamAddress: m.upstreams[i].address,
-			StopGrace: 6 * time.Second,
+			StopGrace: 6 * time.Second, Heartbeat: 1500 * time.Millisecond,
 		},
 		Headers: names, Clock: clock.System(), Log: log, View: own,
-		StoreAge: func() time.Duration { return 0 },
-		Feed:     func(mesh.Position, time.Duration) mesh.Delta { return mesh.Delta{} },
+		StoreAge: func() time.Duration {
+			if _, lost := m.stale.Load(i); lost {
+				return time.Minute
+			}
+			return 0
+		},
+		Feed: func(mesh.Position, time.Duration) mesh.Delta { return mesh.Delta{} },
 	})
 	if err != nil {
 		m.t.Fatal(err)
--- a/pkg/forward/lease.go
+++ b/pkg/forward/lease.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/bamboodeal/bamboodeal/decision/allowance"
@@ -25,18 +26,25 @@
 	holderPause = 300 * time.Millisecond
 )
 
+// errNoHolder means that the nodes disagree on the holder of a team; their lists agree again after the next change.
+var errNoHolder = eris.New("no node holds the team's limit; using the node's own share until the lists agree")
+
 // leaseRequest asks for tokens of a team.
 type leaseRequest struct {
 	Team string `json:"t"`
 	Want int    `json:"w"`
 	// InTouch says that the sender is in contact with the platform's store.
 	InTouch bool `json:"i,omitempty"`
+	// Refused are the VMs before the receiver in the order of holders that refused the sender's connection.
+	Refused []string `json:"f,omitempty"`
 }
 
 // leaseAnswer grants tokens; with none, RetryMS is when to ask again.
 type leaseAnswer struct {
 	Granted int   `json:"g"`
 	RetryMS int64 `json:"r,omitempty"`
+	// Holder is set instead when the sender's list is old and another VM holds the team now.
+	Holder string `json:"h,omitempty"`
 }
 
 // leases keeps the teams within their limits: as the holder of some and as a borrower of the others.
@@ -46,6 +54,8 @@
 	own  string
 	port string
 
+	contact allowance.Contact
+
 	holding  sync.Mutex
 	buckets  *allowance.Buckets
 	standing *allowance.Standing
@@ -63,9 +73,10 @@
 }
 
 func newLeases(o *Options, pool *peer.Pool, ownIP, port string) *leases {
+	contact := allowance.Contact{Heartbeat: o.Settings.Heartbeat}
 	return &leases{
-		o: o, pool: pool, own: ownIP, port: port, buckets: allowance.NewBuckets(),
-		standing: allowance.NewStanding(),
+		o: o, pool: pool, own: ownIP, port: port, contact: contact, buckets: allowance.NewBuckets(),
+		standing: allowance.NewStanding(contact),
 		teams:    map[string]*borrowed{}, silentUntil: map[string]time.Duration{},
 	}
 }
@@ -176,7 +187,7 @@
 
 // serveSeparately decides on all waiting requests by the node's own share.
 func (l *leases) serveSeparately(limit allowance.Limit, b *borrowed) {
-	now, nodes, stranded := l.o.Clock.Now(), len(l.o.View().VMs), !allowance.InTouch(l.o.StoreAge())
+	now, nodes, stranded := l.o.Clock.Now(), len(l.o.View().VMs), !l.contact.InTouch(l.o.StoreAge())
 	for _, w := range b.waiting {
 		w <- b.TakeSeparately(now, limit, nodes, stranded)
 	}
@@ -186,30 +197,53 @@
 // ask asks the holder of a team for tokens. A VM that refuses the connection runs no node and grants nothing, so the
 // next holder in the order takes its place; one that does not answer may still grant to others.
 func (l *leases) ask(now time.Duration, team string, limit allowance.Limit, want int) (leaseAnswer, error) {
+	q := leaseRequest{Team: team, Want: want, InTouch: l.contact.InTouch(l.o.StoreAge())}
 	for _, holder := range allowance.Holders(team, l.o.View().VMs) {
-		if holder == l.own {
-			return l.grant(now, team, limit, want), nil
-		}
-		l.mu.Lock()
-		silent := now < l.silentUntil[holder]
-		l.mu.Unlock()
-		if silent {
-			return leaseAnswer{}, peer.ErrUnresponsive
-		}
-		got, err := l.call(holder, leaseRequest{
-			Team: team, Want: want, InTouch: allowance.InTouch(l.o.StoreAge()),
-		})
+		got, err := l.askHolder(now, holder, limit, q)
 		if errors.Is(err, syscall.ECONNREFUSED) {
+			q.Refused = append(q.Refused, holder)
 			continue
 		}
-		if err != nil {
-			l.silence(now, team, holder, err)
+		if err == nil && got.Holder != "" {
+			return l.askReferred(now, got.Holder, limit, q)
 		}
 		return got, err
 	}
 	return leaseAnswer{}, peer.ErrUnresponsive
 }
 
+// askReferred asks the holder that a node with a newer list named.
+func (l *leases) askReferred(
+	now time.Duration, holder string, limit allowance.Limit, q leaseRequest,
+) (leaseAnswer, error) {
+	got, err := l.askHolder(now, holder, limit, q)
+	if err == nil && got.Holder != "" {
+		err = errNoHolder
+	}
+	return got, err
+}
+
+// askHolder asks one node, which may be this one.
+func (l *leases) askHolder(
+	now time.Duration, holder string, limit allowance.Limit, q leaseRequest,
+) (leaseAnswer, error) {
+	if holder == l.own {
+		return l.grant(now, q.Team, limit, q.Want), nil
+	}
+	l.mu.Lock()
+	silent := now < l.silentUntil[holder]
+	l.mu.Unlock()
+	if silent {
+		return leaseAnswer{}, peer.ErrUnresponsive
+	}
+	var got leaseAnswer
+	err := exchange(l.pool, holder+l.port, leasePath, q, &got, leaseTimeout)
+	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		l.silence(now, q.Team, holder, err)
+	}
+	return got, err
+}
+
 // silence pauses the questions to a holder that did not answer.
 func (l *leases) silence(now time.Duration, team, holder string, err error) {
 	l.mu.Lock()
@@ -219,11 +253,6 @@
 		Warn("the holder of a team's limit did not answer; using the node's own share")
 }
 
-func (l *leases) call(holder string, q leaseRequest) (leaseAnswer, error) {
-	var got leaseAnswer
-	return got, exchange(l.pool, holder+l.port, leasePath, q, &got, leaseTimeout)
-}
-
 // grant gives tokens from a bucket that this node holds.
 func (l *leases) grant(now time.Duration, team string, limit allowance.Limit, want int) leaseAnswer {
 	l.holding.Lock()
@@ -251,7 +280,12 @@
 	l.holding.Unlock()
 	var got leaseAnswer
 	if team := view.Config.Team(q.Team); team != nil {
-		got = l.grant(l.o.Clock.Now(), team.Name, allowance.Limit{Rate: team.Rate, Burst: team.Burst}, q.Want)
+		got.Holder = l.contact.Referral(
+			allowance.Asked{Team: team.Name, InTouch: q.InTouch, Refused: q.Refused}, l.own, view.VMs, l.o.StoreAge(),
+		)
+		if got.Holder == "" {
+			got = l.grant(l.o.Clock.Now(), team.Name, allowance.Limit{Rate: team.Rate, Burst: team.Burst}, q.Want)
+		}
 	}
 	writeBody(ctx, got)
 }
--- /dev/null
+++ b/pkg/forward/lease_test.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bamboodeal/bamboodeal/decision/allowance"
+	"github.com/bamboodeal/bamboodeal/pkg/mesh"
+)
+
+// admitted lets nodes ask for the team's allowance much faster than it fills and returns how many requests pass.
+func (m *testMesh) admitted(team *mesh.Team, span time.Duration, nodes ...int) int64 {
+	var passed atomic.Int64
+	var asking sync.WaitGroup
+	end := time.Now().Add(span)
+	for _, node := range nodes {
+		for range 8 {
+			asking.Go(func() {
+				for time.Now().Before(end) {
+					if m.nodes[node].leases.admit(team) {
+						passed.Add(1)
+					}
+					time.Sleep(2 * time.Millisecond)
+				}
+			})
+		}
+	}
+	asking.Wait()
+	return passed.Load()
+}
+
+// limit sets the allowance of a team, in requests a second and requests.
+func (m *testMesh) limit(name string, rate, burst float64) *mesh.Team {
+	team := m.view.Load().Config.Team(name)
+	team.Rate, team.Burst = rate, burst
+	return team
+}
+
+// shrinkList drops the holder of a team from the list of VMs for all nodes except one that has lost the store. It returns
+// the node that holds the team now and the one with the old list.
+func (m *testMesh) shrinkList(team string) (holder, stale int) {
+	all := m.view.Load()
+	ranked := allowance.Holders(team, all.VMs)
+	index := map[string]int{}
+	for i, vm := range all.VMs {
+		index[vm] = i
+	}
+	holder, stale = index[ranked[1]], index[ranked[2]]
+	m.loseStore(stale)
+	next := *all
+	next.VMs = []string{}
+	for _, vm := range all.VMs {
+		if vm != ranked[0] {
+			next.VMs = append(next.VMs, vm)
+		}
+	}
+	m.view.Store(&next)
+	for i, n := range m.nodes {
+		if i != stale {
+			n.ViewChanged(&next)
+		}
+	}
+	return holder, stale
+}
+
+// The upstream of a holder leaves the list while its node and the store stay in contact. A node that has lost the store
+// still asks that one, and both holders granted the whole limit.
+func TestAReplacedHolderGrantsNothingToANodeWithAnOldList(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 3, nil)
+	team := m.limit("red", 100, 10)
+	holder, stale := m.shrinkList(team.Name)
+	const span = 3 * time.Second
+	passed := m.admitted(team, span, holder, stale)
+	limit := team.Rate*span.Seconds() + team.Burst
+	g.Expect(float64(passed)).To(BeNumerically("<=", 1.25*limit))
+	g.Expect(float64(passed)).To(BeNumerically(">=", 0.8*limit))
+}
+
+// A node with an old list learns the holder from the one that it asks, instead of living on a small share.
+func TestANodeWithAnOldListIsSentToTheHolder(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 3, nil)
+	team := m.limit("red", 100, 10)
+	_, stale := m.shrinkList(team.Name)
+	const span = 2 * time.Second
+	g.Expect(float64(m.admitted(team, span, stale))).To(BeNumerically(">=", 0.8*team.Rate*span.Seconds()))
+}
--- a/pkg/forward/options.go
+++ b/pkg/forward/options.go
@@ -54,6 +54,8 @@
 	UpstreamAddress string
 	// StopGrace is the time between the stop signal and the kill.
 	StopGrace time.Duration
+	// Heartbeat is the interval in which upstreams report to the platform's store.
+	Heartbeat time.Duration
 	// LinkMbps is the rate of the VM's link in Mbit/s.
 	LinkMbps float64
 	// MemoryLimit is the memory of the VM in bytes.
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -40,6 +40,9 @@
 	Full bool `json:"f,omitempty"`
 	// Age is how long ago the store confirmed the revision.
 	Age time.Duration `json:"a"`
+	// Steady is set by a node that has been in contact with the store all the while. What it removed is gone, even if
+	// the follower was out of contact.
+	Steady bool `json:"s,omitempty"`
 	// Links is the digest of the VMs that are known to have wide links. Wide lists them when the follower knows others.
 	Links uint64   `json:"n,omitempty"`
 	Wide  []string `json:"w,omitempty"`
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -38,6 +38,8 @@
 	VM              string
 	DataCentre      string
 	UpstreamAddress string
+	// Heartbeat is the interval in which upstreams report to the store.
+	Heartbeat time.Duration
 	// WideLink makes the node a reader of the store before others.
 	WideLink bool
 	// Store is the platform's store, Peer the node of another VM.
@@ -59,7 +61,9 @@
 	view     atomic.Pointer[View]
 	// contact is when the store last confirmed the view, on the clock.
 	contact atomic.Int64
-	lost    bool
+	// steady tells followers that no entry is missing for an outage of the store.
+	steady atomic.Bool
+	lost   bool
 	// everything asks for the whole contents with the next read.
 	everything bool
 
@@ -85,7 +89,7 @@
 // NewMaintainer returns a maintainer whose view is empty.
 func NewMaintainer(o MaintainerOptions) *Maintainer {
 	m := &Maintainer{
-		o: o, registry: NewRegistry(o.UpstreamAddress), sources: feeding.NewSources(o.VM, o.DataCentre),
+		o: o, registry: NewRegistry(o.UpstreamAddress, o.Heartbeat), sources: feeding.NewSources(o.VM, o.DataCentre),
 		feed: NewFeed(), changed: make(chan struct{}), patches: map[patchKey]Entry{},
 		wide: links{},
 	}
@@ -111,18 +115,22 @@
 	for {
 		delta, changed := m.since(after)
 		if len(delta.Entries) > 0 || after.Revision == 0 || m.StoreAge() > feeding.StaleAge {
-			delta.Age = m.StoreAge()
-			return delta
+			return m.aged(delta)
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			delta.Age = m.StoreAge()
-			return delta
+			return m.aged(delta)
 		}
 	}
 }
 
+// aged adds how far the delta can be trusted.
+func (m *Maintainer) aged(d Delta) Delta {
+	d.Age, d.Steady = m.StoreAge(), m.steady.Load()
+	return d
+}
+
 // since returns what changed after a position, with patches for large entries, and the channel that tells of more.
 func (m *Maintainer) since(after Position) (Delta, chan struct{}) {
 	m.mu.Lock()
@@ -190,9 +198,11 @@
 				retry = min(2*retry, lastRetry)
 			}
 		case <-expire.C:
-			if m.registry.Expire(m.o.Clock.Now()) {
+			now := m.o.Clock.Now()
+			if m.registry.Expire(now) {
 				m.publish()
 			}
+			m.steady.Store(m.registry.Steady(now))
 		}
 	}
 }
@@ -266,7 +276,8 @@
 	m.everything = false
 	if at := now - a.delta.Age; a.delta.Revision > 0 && int64(at) > m.contact.Load() {
 		m.contact.Store(int64(at))
-		m.registry.Contact(at)
+		m.registry.Contact(at, a.delta.Steady)
+		m.steady.Store(m.registry.Steady(now))
 	}
 	m.mu.Lock()
 	m.wide.add(a.delta.Wide)
@@ -296,7 +307,7 @@
 // logContact notes when the contact to the store was lost or regained, over all sources.
 func (m *Maintainer) logContact(a answer) {
 	age := m.StoreAge()
-	if lost := age > outageTime; lost != m.lost {
+	if lost := age > m.registry.outageTime; lost != m.lost {
 		m.lost = lost
 		line := m.o.Log.WithField("age_ms", age.Milliseconds()).WithField("source", a.source)
 		if lost {
--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -12,9 +12,10 @@
 	// lapseGrace is how long the entry of an upstream that is missing when the store is reachable again is still
 	// used: live upstreams register again within about 2 s.
 	lapseGrace = 2500 * time.Millisecond
-	// outageTime without contact to the store counts as an outage. It is longer than a few reads and shorter than
-	// the silence after which entries lapse.
-	outageTime = 2 * time.Second
+	// outageBeats is how long the store is out of contact, in heartbeats of the upstreams, before that counts as an
+	// outage, and outageLimit bounds that time. Entries lapse after two to three heartbeats of silence.
+	outageBeats = 1.5
+	outageLimit = 2 * time.Second
 )
 
 // Upstream is one registered upstream.
@@ -70,6 +71,8 @@
 // Registry collects changes into views. It belongs to the control goroutine.
 type Registry struct {
 	ownAddress string
+	// outageTime without contact to the store counts as an outage.
+	outageTime time.Duration
 	config     *Config
 	upstreams  map[string]*member
 	// newest keeps the last incarnation and report of each ID, also after its entry is removed, so that a report
@@ -81,6 +84,8 @@
 	contact  time.Duration
 	outage   bool
 	returned time.Duration
+	// first is when the store first confirmed the contents.
+	first time.Duration
 }
 
 type member struct {
@@ -89,22 +94,33 @@
 	removeAt time.Duration
 }
 
-// NewRegistry returns an empty registry of the node beside the upstream at ownAddress ("IP:port").
-func NewRegistry(ownAddress string) *Registry {
+// NewRegistry returns an empty registry of the node beside the upstream at ownAddress ("IP:port"). Heartbeat is the
+// interval in which upstreams report to the store.
+func NewRegistry(ownAddress string, heartbeat time.Duration) *Registry {
 	return &Registry{
-		ownAddress: ownAddress, upstreams: map[string]*member{}, newest: map[string]*Upstream{},
+		ownAddress: ownAddress, outageTime: min(outageLimit, time.Duration(outageBeats*float64(heartbeat))),
+		upstreams: map[string]*member{}, newest: map[string]*Upstream{},
 		evacuated: map[string]bool{},
 	}
 }
 
-// Contact notes that the store confirmed the contents at a time.
-func (r *Registry) Contact(at time.Duration) {
-	if r.contact > 0 && at-r.contact > outageTime {
+// Contact notes that the store confirmed the contents at a time. Steady means that the contents come from a node that
+// was in contact with the store in the meantime, so no entry lapsed for an outage of the store.
+func (r *Registry) Contact(at time.Duration, steady bool) {
+	if r.contact == 0 {
+		r.first = at
+	} else if at-r.contact > r.outageTime && !steady {
 		r.outage, r.returned = true, at
 	}
 	r.contact = max(r.contact, at)
 }
 
+// Steady reports whether the contents have been confirmed without an outage for so long that entries that lapsed in
+// one before are back.
+func (r *Registry) Steady(now time.Duration) bool {
+	return r.contact > 0 && !r.outage && now-r.first >= lapseGrace && now-r.contact <= r.outageTime
+}
+
 // Apply takes one change.
 func (r *Registry) Apply(now time.Duration, c Change) {
 	switch {
--- a/pkg/mesh/registry_test.go
+++ b/pkg/mesh/registry_test.go
@@ -7,6 +7,8 @@
 	. "github.com/onsi/gomega"
 )
 
+const heartbeat = 1500 * time.Millisecond
+
 const own = "10.0.0.1:80"
 
 func upstream(id string, born, sequence int64) *Upstream {
@@ -16,12 +18,12 @@
 // A removal has to act at once: an upstream that leaves without a notice serves only for a short time after it.
 func TestRemovalActsAtOnceAfterAQuietTime(t *testing.T) {
 	g := NewWithT(t)
-	r := NewRegistry(own)
-	r.Contact(time.Second)
+	r := NewRegistry(own, heartbeat)
+	r.Contact(time.Second, false)
 	r.Apply(0, Change{Upstream: upstream("a", 1, 1)})
 	// A read without changes answers after its whole wait, which is no outage.
 	now := time.Second + 2*readWait
-	r.Contact(now)
+	r.Contact(now, false)
 	r.Apply(now, Change{Gone: "a"})
 	g.Expect(r.View().Own).To(BeNil())
 }
@@ -29,11 +31,11 @@
 // Entries that lapse while the store is away come back within about 2 s; until then their upstreams are used.
 func TestLapsedEntriesAreUsedUntilTheyAreBack(t *testing.T) {
 	g := NewWithT(t)
-	r := NewRegistry(own)
-	r.Contact(1)
+	r := NewRegistry(own, heartbeat)
+	r.Contact(1, false)
 	r.Apply(0, Change{Upstream: upstream("a", 1, 1)})
 	now := 5 * time.Second
-	r.Contact(now)
+	r.Contact(now, false)
 	r.Apply(now, Change{Gone: "a"})
 	g.Expect(r.View().Own).NotTo(BeNil())
 	g.Expect(r.Expire(now + lapseGrace - 1)).To(BeFalse())
@@ -44,10 +46,10 @@
 
 func TestLapsedEntriesThatStayAwayAreRemoved(t *testing.T) {
 	g := NewWithT(t)
-	r := NewRegistry(own)
-	r.Contact(1)
+	r := NewRegistry(own, heartbeat)
+	r.Contact(1, false)
 	r.Apply(0, Change{Upstream: upstream("a", 1, 1)})
-	r.Contact(5 * time.Second)
+	r.Contact(5*time.Second, false)
 	r.Apply(5*time.Second, Change{Gone: "a"})
 	g.Expect(r.Expire(5*time.Second + lapseGrace)).To(BeTrue())
 	g.Expect(r.View().Own).To(BeNil())
@@ -56,7 +58,7 @@
 // A report that was written before a restart under the same ID names an upstream that is gone.
 func TestLateReportsOfAnEarlierIncarnationAreIgnored(t *testing.T) {
 	g := NewWithT(t)
-	r := NewRegistry(own)
+	r := NewRegistry(own, heartbeat)
 	r.Apply(0, Change{Upstream: upstream("a", 2, 1)})
 	late := upstream("a", 1, 50)
 	late.Draining = true
@@ -70,7 +72,7 @@
 // The answers of the store may cross; a node must not go back to an older version.
 func TestVersionsNeverGoBack(t *testing.T) {
 	g := NewWithT(t)
-	r := NewRegistry(own)
+	r := NewRegistry(own, heartbeat)
 	r.Apply(0, Change{Config: &Config{Version: 7}})
 	r.Apply(0, Change{Config: &Config{Version: 6}})
 	g.Expect(r.View().Config.Version).To(Equal(uint64(7)))
@@ -79,7 +81,7 @@
 // An address that was assigned again belongs to the upstream that started last.
 func TestAnAddressBelongsToTheUpstreamThatStartedLast(t *testing.T) {
 	g := NewWithT(t)
-	r := NewRegistry(own)
+	r := NewRegistry(own, heartbeat)
 	r.Apply(0, Change{Upstream: upstream("new", 9, 1)})
 	r.Apply(0, Change{Upstream: upstream("old", 3, 70)})
 	g.Expect(r.View().Own.ID).To(Equal("new"))
@@ -88,9 +90,53 @@
 
 func TestAnEvacuationLastsUntilItIsTakenBack(t *testing.T) {
 	g := NewWithT(t)
-	r := NewRegistry(own)
+	r := NewRegistry(own, heartbeat)
 	r.Apply(0, Change{Evacuated: "north"})
 	g.Expect(r.View().Evacuated["north"]).To(BeTrue())
 	r.Apply(0, Change{Restored: "north"})
 	g.Expect(r.View().Evacuated["north"]).To(BeFalse())
 }
+
+// With heartbeats of 0.87 s the entries of a cut-off group lapse within 1.8 s, less than the fixed 2 s that counted as an
+// outage: on its return all of them were dropped.
+func TestAShortHeartbeatMakesAShortAbsenceAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	const beat = 870 * time.Millisecond
+	r := NewRegistry(own, beat)
+	r.Contact(time.Second, false)
+	r.Apply(time.Second, Change{Upstream: &Upstream{ID: "a", Service: "s", Address: "10.0.0.2:1", IP: "10.0.0.2", Born: 1}})
+	back := time.Second + 2*beat
+	r.Contact(back, false)
+	r.Apply(back, Change{Gone: "a"})
+	g.Expect(r.View().VMs).To(HaveLen(1))
+	r.Expire(back + lapseGrace)
+	g.Expect(r.View().VMs).To(BeEmpty())
+}
+
+// A node whose reader failed kept upstreams that had been removed for 2.5 s, although the store was in service and the
+// next reader had seen the removal.
+func TestASteadySourceEndsTheGrace(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry(own, heartbeat)
+	r.Contact(time.Second, false)
+	r.Apply(time.Second, Change{Upstream: upstream("a", 1, 1)})
+	r.Contact(5*time.Second, true)
+	r.Apply(5*time.Second, Change{Gone: "a"})
+	g.Expect(r.View().Own).To(BeNil())
+}
+
+// A node that has just started or has been out of contact can't tell which entries lapsed in an outage.
+func TestOnlyLongContactIsSteady(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry(own, heartbeat)
+	g.Expect(r.Steady(time.Second)).To(BeFalse())
+	r.Contact(time.Second, false)
+	g.Expect(r.Steady(time.Second)).To(BeFalse())
+	for at := time.Second; at <= time.Second+lapseGrace; at += 500 * time.Millisecond {
+		r.Contact(at, false)
+	}
+	g.Expect(r.Steady(time.Second + lapseGrace)).To(BeTrue())
+	g.Expect(r.Steady(time.Second + 2*lapseGrace)).To(BeFalse())
+	r.Contact(10*time.Second, false)
+	g.Expect(r.Steady(10 * time.Second)).To(BeFalse())
+}
