Space the starts at cold upstreams evenly within the tolerated overshoot

Cause: a cold upstream got its whole rate at the beginning of each second. Change: starts are spaced, with a small burst; calls of running requests may wait; the rate uses a part of cold_over and cold_slack from the settings. The retry budget takes its bounds from the settings too. A node that starts again keeps the bound, which the count of the last second did not. Ruled out: order and balance between services; the starts of all cold upstreams were used up (13 a second each).

--- a/decision/retry/budget.go
+++ b/decision/retry/budget.go
@@ -19,25 +19,26 @@
 type Budget struct {
 	tokens   float64
 	capacity float64
+	share    float64
 	floor    float64
 	// floorless budgets earn nothing while idle.
 	floorless bool
 	updated   time.Duration
 }
 
-// NewEarnedBudget returns a budget that starts full, saves up at most capacity attempts and earns only by first
-// attempts.
-func NewEarnedBudget(saved float64) *Budget {
-	return &Budget{tokens: saved, capacity: saved, floorless: true}
+// NewEarnedBudget returns a budget that starts full, saves up at most saved attempts and earns a share of an attempt by
+// each first one and nothing else.
+func NewEarnedBudget(saved, share float64) *Budget {
+	return &Budget{tokens: saved, capacity: saved, share: share, floorless: true}
 }
 
 // NewBudget returns a budget that holds the floor of an idle node.
 func NewBudget(now time.Duration) *Budget {
-	return &Budget{capacity: capacity, floor: floorCapacity, updated: now}
+	return &Budget{capacity: capacity, share: share, floor: floorCapacity, updated: now}
 }
 
 // Deposit counts a first attempt.
-func (b *Budget) Deposit() { b.tokens = min(b.capacity, b.tokens+share) }
+func (b *Budget) Deposit() { b.tokens = min(b.capacity, b.tokens+b.share) }
 
 // Refund returns an attempt that was withdrawn and not made.
 func (b *Budget) Refund() { b.tokens = min(b.capacity, b.tokens+1) }
--- a/decision/slots/queue.go
+++ b/decision/slots/queue.go
@@ -40,8 +40,6 @@
 	shortestPatience = 100 * time.Millisecond
 	// patienceSamples is the number of samples from which the usual service time of a route is known.
 	patienceSamples = 8
-	// coldWindow is the span in which the requests to a cold upstream are counted.
-	coldWindow = time.Second
 	// tolerance is the part of the time left that the estimate of a request's end may use up; the rest covers the
 	// spread of service times.
 	tolerance = 0.8
@@ -107,9 +105,7 @@
 	samples   map[string]int
 	mean      time.Duration
 	coldUntil time.Duration
-	coldRate  float64
-	// starts are the times of the requests that were started within coldWindow.
-	starts []time.Duration
+	pace      pace
 	// busy is the moving share of time in which all slots were taken, up to observed.
 	busy     float64
 	observed time.Duration
@@ -126,9 +122,9 @@
 	return q.advance(now)
 }
 
-// SetCold notes until when the upstream is cold and the rate in requests a second that it then bears.
-func (q *Queue) SetCold(now, until time.Duration, rate float64) []Action {
-	q.coldUntil, q.coldRate = until, rate
+// SetCold notes until when the upstream is cold and what it then gets.
+func (q *Queue) SetCold(now, until time.Duration, rate ColdRate) []Action {
+	q.coldUntil, q.pace.rate = until, rate
 	return q.advance(now)
 }
 
@@ -146,14 +142,10 @@
 
 // coldWait returns how long a cold upstream bears no further request.
 func (q *Queue) coldWait(now time.Duration) time.Duration {
-	if !q.cold(now) || q.coldRate <= 0 {
+	if !q.cold(now) {
 		return 0
 	}
-	allowed := max(1, int(q.coldRate))
-	if len(q.starts) < allowed {
-		return 0
-	}
-	return max(0, q.starts[len(q.starts)-allowed]+coldWindow-now)
+	return q.pace.wait(now)
 }
 
 // expected estimates the service time of a request. One of a route without samples is expected to need no more than
@@ -192,14 +184,13 @@
 		wait = q.mean * time.Duration(ahead+1) / time.Duration(q.slots)
 	}
 	if cold := q.coldWait(now); cold > 0 {
-		wait = max(wait, cold+time.Duration(float64(ahead)/q.coldRate*float64(time.Second)))
+		wait = max(wait, cold+time.Duration(ahead)*q.pace.rate.interval())
 	}
 	return wait
 }
 
 // Arrive decides on a request. The queue drops none of its own later without an Action.
 func (q *Queue) Arrive(now time.Duration, r Request) (Decision, []Action) {
-	q.trim(now)
 	q.observe(now)
 	delay, service := q.delay(now, &r), q.expected(&r, now)
 	end := now + time.Duration(float64(delay+service))
@@ -207,7 +198,7 @@
 	case delay == 0 && now < r.Deadline:
 		q.start(now)
 		return Decision{Start: true}, nil
-	case r.Strict && q.cold(now):
+	case r.Strict && !r.Essential && q.cold(now):
 		return Decision{Reason: Cold, After: delay}, nil
 	case r.Strict && float64(delay) > float64(r.Objective-now-service)*r.waitShare():
 		return Decision{Reason: Busy, After: delay}, nil
@@ -290,7 +281,6 @@
 
 // advance starts waiting requests while there is room and refuses those that can no longer end in time.
 func (q *Queue) advance(now time.Duration) []Action {
-	q.trim(now)
 	var actions []Action
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
@@ -362,14 +352,7 @@
 func (q *Queue) start(now time.Duration) {
 	q.observe(now)
 	q.running++
-	q.starts = append(q.starts, now)
-}
-
-// trim forgets the starts that no longer count.
-func (q *Queue) trim(now time.Duration) {
-	n := 0
-	for n < len(q.starts) && q.starts[n]+coldWindow <= now {
-		n++
+	if q.cold(now) {
+		q.pace.started(now)
 	}
-	q.starts = q.starts[n:]
 }
--- a/decision/slots/queue_test.go
+++ b/decision/slots/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -171,15 +172,11 @@
 	g.Expect(float64(d.refused)).To(BeNumerically("<=", 0.02*float64(d.inTime+d.late)))
 }
 
-// Calls of running requests are short, and each one that is refused fails its parent, which has taken a slot elsewhere
-// for nothing. A service that is overloaded by other requests has to run them all the same.
-func TestCallsOfRunningRequestsAreServedInAnOverload(t *testing.T) {
-	g := NewWithT(t)
-	d := newDay()
-	d.arrivals(0, 20*time.Second, 150)
-	refused, served := 0, 0
-	for i := range 1200 {
-		d.at(2*time.Second+time.Duration(i)*15*time.Millisecond, func(now time.Duration) {
+// calls lets short calls of running requests arrive at an interval. They are refused when no place is free soon.
+func (d *day) calls(from time.Duration, count int, interval time.Duration) (refused, served *int) {
+	refused, served = new(int), new(int)
+	for i := range count {
+		d.at(from+time.Duration(i)*interval, func(now time.Duration) {
 			d.nextID++
 			call := Request{
 				ID: d.nextID, Route: "call", Priority: -1, Essential: true, Strict: true,
@@ -187,17 +184,18 @@
 			}
 			decision, actions := d.queue.Arrive(now, call)
 			d.apply(now, actions)
-			if decision.Reason == Busy {
+			if decision.Reason != "" && decision.Reason != TooLate {
 				call.Strict = false
 				decision, actions = d.queue.Arrive(now, call)
 				d.apply(now, actions)
 			}
 			if decision.Reason != "" {
-				refused++
+				*refused++
 				return
 			}
-			served++
+			*served++
 			if decision.Start {
+				d.starts = append(d.starts, now)
 				d.at(now+30*time.Millisecond, func(now time.Duration) {
 					d.apply(now, d.queue.Finish(now, "call", 30*time.Millisecond))
 				})
@@ -206,8 +204,18 @@
 			d.waiting[call.ID] = client{began: now, asked: now}
 		})
 	}
+	return refused, served
+}
+
+// Calls of running requests are short, and each one that is refused fails its parent, which has taken a slot elsewhere
+// for nothing. A service that is overloaded by other requests has to run them all the same.
+func TestCallsOfRunningRequestsAreServedInAnOverload(t *testing.T) {
+	g := NewWithT(t)
+	d := newDay()
+	d.arrivals(0, 20*time.Second, 150)
+	refused, served := d.calls(2*time.Second, 1200, 15*time.Millisecond)
 	d.play()
-	g.Expect(refused).To(BeNumerically("<=", (refused+served)/50))
+	g.Expect(*refused).To(BeNumerically("<=", (*refused+*served)/50))
 }
 
 // Urgent requests are in time in an overload by others.
@@ -238,30 +246,80 @@
 	g.Expect(urgent.inTime).To(BeNumerically(">=", sent*95/100))
 }
 
-// An upstream that has just started crashes at a rate well above what it bears.
-func TestAColdUpstreamGetsNoMoreThanItBears(t *testing.T) {
-	g := NewWithT(t)
+// coldDay plays arrivals at a rate to an upstream that is cold all the while.
+func coldDay(rate ColdRate, length time.Duration, perSecond float64) *day {
 	d := newDay()
-	const perSecond = 13
-	d.queue.SetCold(0, 5*time.Second, perSecond)
-	d.arrivals(0, 5*time.Second, 100)
+	d.queue.SetCold(0, length, rate)
+	d.arrivals(0, length, perSecond)
 	// The goroutines of the node call Tick when Next says so.
-	for now := time.Duration(0); now < 5*time.Second; now += 10 * time.Millisecond {
+	for now := time.Duration(0); now < length; now += 10 * time.Millisecond {
 		d.at(now, func(now time.Duration) { d.apply(now, d.queue.Tick(now)) })
 	}
-	d.play()
-	first := 0
-	for i, at := range d.starts {
-		if at >= 5*time.Second {
+	return d
+}
+
+// mostInASecond returns the largest number of starts in a second before the end.
+func mostInASecond(starts []time.Duration, end time.Duration) int {
+	most, first := 0, 0
+	for i, at := range starts {
+		if at >= end {
 			break
 		}
-		for at-d.starts[first] >= time.Second {
+		for at-starts[first] >= time.Second {
 			first++
 		}
-		g.Expect(i - first + 1).To(BeNumerically("<=", perSecond))
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// An upstream that has just started crashes at a rate well above what it bears.
+func TestAColdUpstreamGetsNoMoreThanItBears(t *testing.T) {
+	g := NewWithT(t)
+	const perSecond, length = 13, 5 * time.Second
+	d := coldDay(ColdRate{PerSecond: perSecond, Burst: 1}, length, 100)
+	d.play()
+	g.Expect(mostInASecond(d.starts, length)).To(BeNumerically("<=", perSecond))
+}
+
+// A node that starts again within a second knows nothing of what its predecessor sent to the cold upstream.
+func TestANodeThatStartsAgainKeepsTheRateOfAColdUpstream(t *testing.T) {
+	for _, perSecond := range []float64{2, 5, 11, 13, 40} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			g := NewWithT(t)
+			const over, slack, length = 1.5, 5, 4 * time.Second
+			rate := NewColdRate(perSecond, over, slack)
+			before, after := coldDay(rate, length, 200), coldDay(rate, length, 200)
+			before.play()
+			after.play()
+			starts := before.starts
+			for i, at := range starts {
+				if at >= length {
+					starts = starts[:i]
+					break
+				}
+			}
+			for _, at := range after.starts {
+				starts = append(starts, length+at)
+			}
+			g.Expect(float64(mostInASecond(starts, 2*length))).To(BeNumerically("<=", perSecond*over+slack))
+			g.Expect(float64(len(starts))).To(BeNumerically(">=", perSecond*2*length.Seconds()))
+		})
 	}
 }
 
+// After a loss of power all upstreams are cold, and those that are called by others get several times what they bear.
+// Starts that other requests used up at the beginning of a second left nothing for the calls of running requests, which
+// fail their parents.
+func TestCallsOfRunningRequestsAreServedByAColdUpstream(t *testing.T) {
+	g := NewWithT(t)
+	const length = 20 * time.Second
+	d := coldDay(NewColdRate(13, 1.5, 5), length, 40)
+	refused, served := d.calls(time.Second, 60, 150*time.Millisecond)
+	d.play()
+	g.Expect(*refused).To(BeNumerically("<=", (*refused+*served)/20))
+}
+
 // A request that was taken back leaves no trace, and a full queue gives way to a more urgent request.
 func TestAFullQueueGivesWayToAnUrgentRequest(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -7,25 +7,37 @@
 	"github.com/bamboodeal/bamboodeal/decision/retry"
 )
 
+const (
+	// savedAttempts is what one node saves up at most for a service.
+	savedAttempts = 2
+	// slackShare is the part of the bound's slack that all nodes together may save up. Nodes that start again have
+	// their savings once more.
+	slackShare = 0.8
+	// ratioShare is the part of the bound's ratio that requests earn. Attempts that upstreams make themselves, and the
+	// calls of repeated requests, count too.
+	ratioShare = 0.5
+)
+
 // budgets holds a retry budget for each service.
 type budgets struct {
+	o        *Options
 	mu       sync.Mutex
 	services map[string]*retry.Budget
 }
 
+func newBudgets(o *Options) *budgets { return &budgets{o: o, services: map[string]*retry.Budget{}} }
+
 func (b *budgets) get(service string) *retry.Budget {
 	budget := b.services[service]
 	if budget == nil {
-		budget = retry.NewEarnedBudget(savedAttempts)
+		nodes := max(1, len(b.o.View().VMs))
+		saved := min(savedAttempts, slackShare*b.o.Settings.RetrySlack/float64(nodes))
+		budget = retry.NewEarnedBudget(saved, ratioShare*b.o.Settings.RetryRatio)
 		b.services[service] = budget
 	}
 	return budget
 }
 
-// savedAttempts is what one node can save up for a service. All nodes together then stay below the slack of the
-// budget's bound, which is about five attempts for each node.
-const savedAttempts = 2
-
 // first counts a request for the service.
 func (b *budgets) first(service string) {
 	b.mu.Lock()
@@ -53,5 +65,3 @@
 	defer b.mu.Unlock()
 	return b.get(service).Available()
 }
-
-func (b *budgets) init() { b.services = map[string]*retry.Budget{} }
--- a/pkg/forward/harness_test.go
+++ b/pkg/forward/harness_test.go
@@ -214,6 +214,7 @@
 			VM: fmt.Sprint("vm", i), DataCentre: "north", Service: testService, CallerAddress: m.address(i, 0),
 			PeerAddress: m.address(i, 1), ReadyAddress: m.address(i, 2), UpstreamAddress: m.upstreams[i].address,
 			StopGrace: 6 * time.Second, Heartbeat: 1500 * time.Millisecond,
+			ColdOver: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56,
 		},
 		Headers: names, Clock: clock.System(), Log: log, View: own,
 		StoreAge: func() time.Duration {
--- a/pkg/forward/health.go
+++ b/pkg/forward/health.go
@@ -136,7 +136,8 @@
 	if ms, err := strconv.ParseFloat(string(resp.Header.Peek(h.o.Headers.ColdMS)), 64); err == nil {
 		cold = time.Duration(ms * float64(time.Millisecond))
 	}
-	h.queue.change(func(now time.Duration) []slots.Action { return h.queue.slots.SetCold(now, now+cold, coldRate) })
+	rate := slots.NewColdRate(coldRate, h.o.Settings.ColdOver, h.o.Settings.ColdSlack)
+	h.queue.change(func(now time.Duration) []slots.Action { return h.queue.slots.SetCold(now, now+cold, rate) })
 	h.mu.Lock()
 	changed := h.id != id
 	h.id = id
--- a/pkg/forward/node.go
+++ b/pkg/forward/node.go
@@ -47,7 +47,7 @@
 	o          Options
 	controller *controller
 	leases     *leases
-	budgets    budgets
+	budgets    *budgets
 	recorder   *recorder
 	hops       *peer.Pool
 	port       string
@@ -70,7 +70,7 @@
 		o: o, port: ":" + port, recorder: newRecorder(o.Clock, o.Log),
 		table: placement.NewTable(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
-	n.budgets.init()
+	n.budgets = newBudgets(&n.o)
 	n.hops = peer.NewPool(peer.PoolOptions{
 		Clock: o.Clock, IdleTimeout: hopIdleTimeout, WatchInterval: watchInterval, UnackedTimeout: unackedTimeout,
 	})
--- a/pkg/forward/options.go
+++ b/pkg/forward/options.go
@@ -56,6 +56,13 @@
 	StopGrace time.Duration
 	// Heartbeat is the interval in which upstreams report to the platform's store.
 	Heartbeat time.Duration
+	// ColdOver and ColdSlack bound the requests to a cold upstream in any second: its rate x ColdOver + ColdSlack.
+	ColdOver  float64
+	ColdSlack float64
+	// RetryRatio and RetrySlack bound the further attempts at a service: requests x RetryRatio + RetrySlack in any
+	// window, over all nodes.
+	RetryRatio float64
+	RetrySlack float64
 	// LinkMbps is the rate of the VM's link in Mbit/s.
 	LinkMbps float64
 	// MemoryLimit is the memory of the VM in bytes.
