Let one reader of each data centre read the store

Change: the further readers follow the first, and read the store when it fails. Ruled out: calls at the start, about three for each node.

--- a/decision/feeding/readers.go
+++ b/decision/feeding/readers.go
@@ -104,9 +104,10 @@
 	return Store
 }
 
-// order lists the sources of this node. A reader with a narrow link passes on what a wide one of another data centre
-// reads; it follows another narrow one, which might follow it in turn, only when it has lost the store: two that follow
-// each other notice by the age of what they hear.
+// order lists the sources of this node. The first reader of a data centre reads the store and the further ones follow
+// it. Readers with narrow links pass on what a wide one of another data centre reads. They follow another narrow one,
+// which might follow them in turn, only when they have lost the store: two that follow each other notice by the age of
+// what they hear.
 func (s *Sources) order(now time.Duration, members []Member) []string {
 	readers := Readers(members, s.dataCentre)
 	self, near, wide, narrow := -1, []string(nil), []string(nil), []string(nil)
@@ -123,18 +124,23 @@
 		}
 	}
 	s.reader = self >= 0
-	s.spread(now, near)
+	if self < 0 {
+		s.spread(now, near)
+	}
 	s.rotate(wide)
 	s.rotate(narrow)
 	wide = wide[:min(len(wide), otherReaders)]
 	narrow = narrow[:min(len(narrow), otherReaders)]
+	store := []string{Store}
 	switch {
 	case self < 0:
-		return slices.Concat(near, wide, narrow, []string{Store})
+		return slices.Concat(near, wide, narrow, store)
+	case self > 0 && readers[0].Wide:
+		return slices.Concat(near[:1], store, wide, narrow)
 	case readers[self].Wide || len(wide) == 0:
-		return slices.Concat([]string{Store}, wide, narrow)
+		return slices.Concat(store, wide, narrow)
 	}
-	return slices.Concat(wide, []string{Store}, narrow)
+	return slices.Concat(wide, store, narrow)
 }
 
 // meetingPoint returns the VM where nodes of a data centre learn which of them have wide links. Readers that know only
--- a/decision/feeding/readers_test.go
+++ b/decision/feeding/readers_test.go
@@ -165,3 +165,38 @@
 		}
 	}
 }
+
+// Each reader of a data centre asked the store, so the calls grew with the fleet; the further ones only have to share the
+// followers, and to take over.
+func TestOneReaderOfADataCentreReadsTheStore(t *testing.T) {
+	for _, perPlace := range []int{4, 30, 100} {
+		g := NewWithT(t)
+		members := fleet(perPlace)
+		sources := map[string]int{}
+		for _, m := range members {
+			sources[follow(m.VM, m.DataCentre, members)]++
+		}
+		g.Expect(sources[Store]).To(Equal(3), "%d VMs in each data centre", perPlace)
+		for name, followers := range sources {
+			if name != Store {
+				g.Expect(followers).To(BeNumerically("<=", 2*membersPerReader))
+			}
+		}
+	}
+}
+
+// The first reader of a data centre fails: the next one reads the store, and its followers stay in the data centre.
+func TestTheNextReaderTakesOver(t *testing.T) {
+	g := NewWithT(t)
+	members := fleet(30)
+	readers := Readers(members, "north")[:2]
+	next := NewSources(readers[1].VM, "north")
+	next.Next(0, members)
+	g.Expect(next.Next(0, members)).To(Equal(readers[0].VM))
+	next.Failed(0, readers[0].VM)
+	g.Expect(next.Next(time.Millisecond, members)).To(Equal(Store))
+	follower := NewSources("north-20", "north")
+	follower.Next(0, members)
+	follower.Failed(0, readers[0].VM)
+	g.Expect(follower.Next(time.Millisecond, members)).To(Equal(readers[1].VM))
+}
