--- a/pkg/forward/node.go
+++ b/pkg/forward/node.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -111,7 +112,8 @@
 	peers := n.server(n.handlePeer, peerServerIdleTimeout)
 	ready := n.server(n.handleReady, callerIdleTimeout)
 	servers := []*fasthttp.Server{callers, peers, ready}
-	addresses := []string{n.o.Settings.CallerAddress, n.o.Settings.PeerAddress, n.o.Settings.ReadyAddress}
+	peerListen := cmp.Or(n.o.Settings.PeerListen, n.o.Settings.PeerAddress)
+	addresses := []string{n.o.Settings.CallerAddress, peerListen, n.o.Settings.ReadyAddress}
 	if n.o.Settings.MetricsAddress != "" {
 		servers = append(servers, n.server(n.serveMetrics, callerIdleTimeout))
 		addresses = append(addresses, n.o.Settings.MetricsAddress)
--- a/pkg/forward/options.go
+++ b/pkg/forward/options.go
@@ -46,8 +46,10 @@
 	Service    string
 	// CallerAddress serves the callers on the VM, PeerAddress other nodes, ReadyAddress the readiness check; all are
 	// "IP:port". MetricsAddress may be empty.
-	CallerAddress  string
-	PeerAddress    string
+	CallerAddress string
+	PeerAddress   string
+	// PeerListen is where the node listens for other nodes if they reach PeerAddress through a proxy.
+	PeerListen     string
 	ReadyAddress   string
 	MetricsAddress string
 	// UpstreamAddress is the "IP:port" of the upstream.
--- a/pkg/operatorcli/cli.go
+++ b/pkg/operatorcli/cli.go
@@ -64,7 +64,7 @@
 	}
 	s := &session{options: options{timeoutMS: 3000}, stdout: stdout, stderr: stderr}
 	parser, choices := s.parser()
-	if err := parser.ParseArgs(args); err != nil {
+	if err := parser.ParseArgs(separateFiles(args)); err != nil {
 		return s.exit(eris.Wrap(errUsage, err.Error()))
 	}
 	for _, c := range choices {
@@ -145,8 +145,12 @@
 		c.UInt64(&s.timeoutMS, "", "timeout-ms", "Time in milliseconds that one node has to answer.")
 		c.Bool(&s.json, "", "json", "Print the report as JSON.")
 	}
-	choices = append(choices, choice{status, s.status}, choice{burn, s.burn})
-	for _, c := range []*flaggy.Subcommand{check, build, diff, groups[0].command, groups[1].command, status, burn} {
+	story := command(explainName, "Show what the logs of nodes say of one request, in order: explain ID [FILE...].")
+	story.AddPositionalValue(&s.first, "ID", 1, true, "The ID of the request; logs are read from the files after it or from standard input.")
+	story.Bool(&s.json, "", "json", "Print the lines as JSON.")
+	choices = append(choices, choice{status, s.status}, choice{burn, s.burn},
+		choice{story, func() error { return s.explain(p.TrailingArguments) }})
+	for _, c := range []*flaggy.Subcommand{check, build, diff, groups[0].command, groups[1].command, status, burn, story} {
 		p.AttachSubcommand(c, 1)
 	}
 	return p, append(choices, groups...)
--- a/pkg/operatorcli/cli_test.go
+++ b/pkg/operatorcli/cli_test.go
@@ -294,3 +294,37 @@
 	}
 	g.Expect(read(t, dir)).To(HaveKeyWithValue("notes.txt", "kept"))
 }
+
+// The story of a request lies in the logs of several nodes, in any number of files.
+func TestExplainReadsSeveralLogs(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	logs := map[string]string{
+		"a.log": `{"msg":"request ended","request":"r1","time":"2026-02-05T21:12:32.2Z","outcome":"overloaded","status":503}`,
+		"b.log": `{"msg":"upstream did not answer a forwarded request","request":"r1","time":"2026-02-05T21:12:32.1Z","waiting":9}`,
+	}
+	args := append(make([]string, 0, 5), "explain", "r1")
+	for _, name := range []string{"a.log", "b.log"} {
+		path := filepath.Join(dir, name)
+		g.Expect(os.WriteFile(path, []byte(logs[name]), 0o600)).To(Succeed())
+		args = append(args, path)
+	}
+	code, out, _ := run(args...)
+	g.Expect(code).To(Equal(operatorcli.ExitSuccess))
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	g.Expect(lines).To(HaveLen(2))
+	g.Expect(lines[0]).To(ContainSubstring("waiting=9"))
+	g.Expect(lines[1]).To(ContainSubstring("outcome=overloaded"))
+	code, out, _ = run(append(args, "--json")...)
+	g.Expect(code).To(Equal(operatorcli.ExitSuccess))
+	var story struct {
+		Lines []map[string]any `json:"lines"`
+	}
+	g.Expect(json.Unmarshal([]byte(out), &story)).To(Succeed())
+	g.Expect(story.Lines).To(HaveLen(2))
+	code, _, errors := run("explain", "unknown", args[2])
+	g.Expect(code).To(Equal(operatorcli.ExitFailure))
+	g.Expect(errors).To(ContainSubstring("name the logs of the node"))
+	code, _, _ = run("explain", "r1", filepath.Join(dir, "missing"))
+	g.Expect(code).To(Equal(operatorcli.ExitUsage))
+}
