Let a substitute stand in for a silent holder of limits

Cause: when the VM of a holder loses its power, its teams are refused until the list drops it: the own share of one of 69 nodes is 0.2 requests a second, and each new question to the holder cost the requests that waited for it. Change: the next holder in the order answers instead. It passes on the holder's own answer if it reaches it, and otherwise grants 0.6 of the limit, or 0.2 of it if the team was over its limit or after two heartbeats. Silent holders are probed in the background. Ruled out: using the rate that each node was granted before; single nodes see too few requests for it.

--- a/decision/allowance/allowance.go
+++ b/decision/allowance/allowance.go
@@ -28,6 +28,9 @@
 	strandedShare = 0.55
 	// substituteTime is how long a substitute keeps a bucket without being asked.
 	substituteTime = 2 * time.Second
+	// limitedTime is how long a team counts as over its limit after its holder had no tokens. It is the window of the
+	// limits.
+	limitedTime = 5 * time.Second
 	// minRetry is the shortest time after which an empty bucket is asked again.
 	minRetry = 50 * time.Millisecond
 )
@@ -120,6 +123,8 @@
 	expires time.Duration
 	// emptyUntil is when the holder is asked again after it had no tokens.
 	emptyUntil time.Duration
+	// limited is when the holder last had no tokens.
+	limited time.Duration
 	// demand is the moving average of the requests a second.
 	demand  float64
 	arrived time.Duration
@@ -158,10 +163,19 @@
 // EmptyFor returns how long the holder is known to be empty.
 func (b *Borrower) EmptyFor(now time.Duration) time.Duration { return max(0, b.emptyUntil-now) }
 
-// Granted takes the holder's answer to a question that was asked at a time.
-func (b *Borrower) Granted(asked time.Duration, granted int, retry time.Duration) {
+// Limited reports whether the team was over its limit within the last seconds, so that it may still be.
+func (b *Borrower) Limited(now time.Duration) bool {
+	return b.limited > 0 && now-b.limited < limitedTime
+}
+
+// Granted takes the answer to a question that was asked at a time. A substitute without tokens does not show that the
+// team is over its limit.
+func (b *Borrower) Granted(asked time.Duration, granted int, retry time.Duration, substitute bool) {
 	if granted == 0 {
 		b.emptyUntil = asked + retry
+		if !substitute {
+			b.limited = asked
+		}
 		return
 	}
 	b.tokens += granted
--- a/decision/allowance/allowance_test.go
+++ b/decision/allowance/allowance_test.go
@@ -46,7 +46,7 @@
 	case f.reaches(node):
 		if want := b.Wants(now, 1); want > 0 {
 			granted, retry := f.buckets.Lease(now, "team", f.limit, want)
-			b.Granted(now, granted, retry)
+			b.Granted(now, granted, retry, false)
 			ok = b.Take(now)
 		}
 	default:
--- a/decision/allowance/standing.go
+++ b/decision/allowance/standing.go
@@ -14,6 +14,14 @@
 	// vouch for each other.
 	standingBeats = 1.25
 	touchBeats    = 1.0
+	// substituteBeats is how long a substitute stands in for a silent holder, in heartbeats; the list of VMs then drops one
+	// that has lost its power.
+	substituteBeats = 2
+	// substituteShare is the part of a limit that a substitute grants while the silent holder may live and grant the whole
+	// of it to others. Most teams send less, and the burst that the holder granted before counts too.
+	substituteShare = 0.6
+	// substituteBurst is the time in which a substitute's bucket fills.
+	substituteBurst = 500 * time.Millisecond
 	// reducedShare is the part of a limit that a holder grants whom the others may have replaced. The tolerance of the
 	// limit also has to cover the burst that it granted before.
 	reducedShare = 0.1
@@ -73,6 +81,17 @@
 	return Limit{Rate: reducedShare * l.Rate, Burst: reducedShare * l.Burst}
 }
 
+// Substitute is the limit of a node that stands in for a holder which has been silent for some time. A team that the
+// holder refused before gets little: it sends more than its limit, and the holder may go on granting all of that.
+func (c Contact) Substitute(l Limit, silence time.Duration, limited bool) Limit {
+	share := substituteShare
+	if limited || silence > c.beats(substituteBeats) {
+		share = separateShare
+	}
+	rate := share * l.Rate
+	return Limit{Rate: rate, Burst: max(1, min(share*l.Burst, rate*substituteBurst.Seconds()))}
+}
+
 // Asked is a question for tokens of a team as the receiver sees it.
 type Asked struct {
 	Team string
--- a/decision/allowance/standing_test.go
+++ b/decision/allowance/standing_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -77,3 +78,72 @@
 	g.Expect(contact.Referral(Asked{Team: "red", InTouch: true}, ranked[0], ranked[1:], 0)).To(BeEmpty())
 	g.Expect(contact.Referral(q, ranked[0], ranked[1:], time.Minute)).To(BeEmpty())
 }
+
+// A holder loses its power. Its teams were refused until the list dropped it, because the own share of one of 69 nodes
+// is a fifth of a request a second.
+func TestASubstituteServesTheTeamsOfASilentHolder(t *testing.T) {
+	g := NewWithT(t)
+	b, random := NewBuckets(), rand.New(rand.NewPCG(5, 6))
+	nodes := make([]*Borrower, 69)
+	for i := range nodes {
+		nodes[i] = &Borrower{}
+	}
+	sent, admitted := 0, 0
+	const lost = time.Minute
+	for now := lost; now < lost+contact.beats(substituteBeats); now += time.Duration(random.ExpFloat64() / (0.6 * usual.Rate) * float64(time.Second)) {
+		node := nodes[random.IntN(len(nodes))]
+		sent++
+		node.Arrived(now)
+		if want := node.Wants(now, 1); want > 0 {
+			granted, retry := b.Lease(now, "team", contact.Substitute(usual, now-lost, node.Limited(now)), want)
+			node.Granted(now, granted, retry, true)
+		}
+		if node.Take(now) {
+			admitted++
+		}
+	}
+	g.Expect(admitted).To(BeNumerically(">=", sent*80/100), "of %d", sent)
+}
+
+// The silent holder lives on the other side of a cut and grants the whole limit there until it has been without the
+// store for too long. A team that starts to send many times its rate at any moment stays within the tolerance.
+func TestHolderAndSubstituteStayWithinTheLimit(t *testing.T) {
+	for _, beat := range []time.Duration{870 * time.Millisecond, 1500 * time.Millisecond} {
+		c := Contact{Heartbeat: beat}
+		for hot := -2 * time.Second; hot < 3*beat; hot += 250 * time.Millisecond {
+			g := NewWithT(t)
+			const cut = time.Minute
+			f := newFleet(0, 0, 0, usual)
+			holder, substitute := NewBuckets(), NewBuckets()
+			holder.Hold(0, []string{"team"})
+			var limited time.Duration
+			ask := func(b *Buckets, now time.Duration, l Limit) bool {
+				granted, _ := b.Lease(now, "team", l, 1)
+				if granted > 0 {
+					f.admitted = append(f.admitted, now)
+				}
+				return granted > 0
+			}
+			for now := cut + hot; now < cut+hot+10*time.Second; now += 2 * time.Millisecond {
+				silence := now - cut
+				limit := usual
+				if silence > c.beats(lapseBeats) {
+					limit = usual.Reduced()
+				}
+				if !ask(holder, now, limit) && now < cut {
+					limited = now
+				}
+				switch {
+				case silence <= 0:
+				case silence < 3*beat:
+					ask(substitute, now, c.Substitute(usual, silence, limited > 0 && now-limited < limitedTime))
+				default:
+					// The list has dropped the holder; the next one begins with an empty bucket.
+					substitute.Hold(now, []string{"team"})
+					ask(substitute, now, usual)
+				}
+			}
+			g.Expect(float64(f.most())).To(BeNumerically("<=", f.bound()), "heartbeat %s, hot %s after the cut", beat, hot)
+		}
+	}
+}
--- a/pkg/forward/lease.go
+++ b/pkg/forward/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,8 +23,10 @@
 	// leaseTimeout bounds one question to a holder. A VM whose share of a processor is used up stands still for up to
 	// a tenth of a second.
 	leaseTimeout = 250 * time.Millisecond
-	// holderPause is how long a holder that did not answer is not asked.
+	// holderPause is the time between two probes of a holder that did not answer.
 	holderPause = 300 * time.Millisecond
+	// relayTimeout bounds the question of a substitute to the holder; it leaves the sender time for the answer.
+	relayTimeout = 150 * time.Millisecond
 )
 
 // errNoHolder means that the nodes disagree on the holder of a team; their lists agree again after the next change.
@@ -37,12 +40,18 @@
 	InTouch bool `json:"i,omitempty"`
 	// Refused are the VMs before the receiver in the order of holders that refused the sender's connection.
 	Refused []string `json:"f,omitempty"`
+	// Silent is the holder that does not answer the sender; the receiver stands in for it. Limited says that the holder
+	// refused tokens of the team a few seconds ago.
+	Silent  string `json:"s,omitempty"`
+	Limited bool   `json:"l,omitempty"`
 }
 
 // leaseAnswer grants tokens; with none, RetryMS is when to ask again.
 type leaseAnswer struct {
 	Granted int   `json:"g"`
 	RetryMS int64 `json:"r,omitempty"`
+	// Substitute is set when the granting node stands in for the holder.
+	Substitute bool `json:"u,omitempty"`
 	// Holder is set instead when the sender's list is old and another VM holds the team now.
 	Holder string `json:"h,omitempty"`
 }
@@ -60,10 +69,17 @@
 	buckets  *allowance.Buckets
 	standing *allowance.Standing
 
-	mu    sync.Mutex
-	teams map[string]*borrowed
-	// silentUntil is when a holder that did not answer is asked again.
-	silentUntil map[string]time.Duration
+	mu     sync.Mutex
+	teams  map[string]*borrowed
+	silent map[string]*silence
+}
+
+// silence is what is known of a holder that does not answer.
+type silence struct {
+	since time.Duration
+	// probeAt is when the next probe is due, probing is true during one.
+	probeAt time.Duration
+	probing bool
 }
 
 type borrowed struct {
@@ -77,7 +93,7 @@
 	return &leases{
 		o: o, pool: pool, own: ownIP, port: port, contact: contact, buckets: allowance.NewBuckets(),
 		standing: allowance.NewStanding(contact),
-		teams:    map[string]*borrowed{}, silentUntil: map[string]time.Duration{},
+		teams:    map[string]*borrowed{}, silent: map[string]*silence{},
 	}
 }
 
@@ -93,8 +109,15 @@
 		}
 	}
 	l.holding.Lock()
-	defer l.holding.Unlock()
 	l.buckets.Hold(l.o.Clock.Now(), teams)
+	l.holding.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for vm := range l.silent {
+		if !slices.Contains(v.VMs, vm) {
+			delete(l.silent, vm)
+		}
+	}
 }
 
 // admit reports whether a request of the team is within its limit; it waits a short time for tokens.
@@ -158,18 +181,21 @@
 			l.mu.Unlock()
 			return
 		}
-		want, empty := b.Wants(now, len(b.waiting)), b.EmptyFor(now)
+		want, empty, limited := b.Wants(now, len(b.waiting)), b.EmptyFor(now), b.Limited(now)
 		l.mu.Unlock()
 		if want == 0 {
 			time.Sleep(empty)
 			continue
 		}
-		got, err := l.ask(now, team, limit, want)
+		got, err := l.ask(now, limit, leaseRequest{
+			Team: team, Want: want, InTouch: l.contact.InTouch(l.o.StoreAge()), Limited: limited,
+		})
+		retry := time.Duration(got.RetryMS) * time.Millisecond
 		l.mu.Lock()
 		if err != nil {
 			l.serveSeparately(limit, b)
 		} else {
-			b.Granted(now, got.Granted, time.Duration(got.RetryMS)*time.Millisecond)
+			b.Granted(now, got.Granted, retry, got.Substitute)
 			l.serve(b)
 		}
 		l.mu.Unlock()
@@ -195,19 +221,21 @@
 }
 
 // ask asks the holder of a team for tokens. A VM that refuses the connection runs no node and grants nothing, so the
-// next holder in the order takes its place; one that does not answer may still grant to others.
-func (l *leases) ask(now time.Duration, team string, limit allowance.Limit, want int) (leaseAnswer, error) {
-	q := leaseRequest{Team: team, Want: want, InTouch: l.contact.InTouch(l.o.StoreAge())}
-	for _, holder := range allowance.Holders(team, l.o.View().VMs) {
+// next holder in the order takes its place; one that does not answer may still grant to others, and the next one stands
+// in for it with less.
+func (l *leases) ask(now time.Duration, limit allowance.Limit, q leaseRequest) (leaseAnswer, error) {
+	for _, holder := range allowance.Holders(q.Team, l.o.View().VMs) {
 		got, err := l.askHolder(now, holder, limit, q)
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
 			q.Refused = append(q.Refused, holder)
-			continue
-		}
-		if err == nil && got.Holder != "" {
+		case err != nil && q.Silent == "":
+			q.Silent = holder
+		case err == nil && got.Holder != "":
 			return l.askReferred(now, got.Holder, limit, q)
+		default:
+			return got, err
 		}
-		return got, err
 	}
 	return leaseAnswer{}, peer.ErrUnresponsive
 }
@@ -216,6 +244,7 @@
 func (l *leases) askReferred(
 	now time.Duration, holder string, limit allowance.Limit, q leaseRequest,
 ) (leaseAnswer, error) {
+	q.Silent = ""
 	got, err := l.askHolder(now, holder, limit, q)
 	if err == nil && got.Holder != "" {
 		err = errNoHolder
@@ -228,42 +257,109 @@
 	now time.Duration, holder string, limit allowance.Limit, q leaseRequest,
 ) (leaseAnswer, error) {
 	if holder == l.own {
-		return l.grant(now, q.Team, limit, q.Want), nil
+		return l.grant(now, limit, q), nil
 	}
-	l.mu.Lock()
-	silent := now < l.silentUntil[holder]
-	l.mu.Unlock()
-	if silent {
+	return l.call(now, holder, q, leaseTimeout)
+}
+
+// call asks another node. One that is known to be silent is not waited for.
+func (l *leases) call(now time.Duration, holder string, q leaseRequest, timeout time.Duration) (leaseAnswer, error) {
+	if l.isSilent(now, holder) {
 		return leaseAnswer{}, peer.ErrUnresponsive
 	}
 	var got leaseAnswer
-	err := exchange(l.pool, holder+l.port, leasePath, q, &got, leaseTimeout)
+	err := exchange(l.pool, holder+l.port, leasePath, q, &got, timeout)
 	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
 		l.silence(now, q.Team, holder, err)
 	}
 	return got, err
 }
 
-// silence pauses the questions to a holder that did not answer.
+// silence notes a holder that did not answer.
 func (l *leases) silence(now time.Duration, team, holder string, err error) {
 	l.mu.Lock()
-	l.silentUntil[holder] = now + holderPause
+	known := l.silent[holder] != nil
+	if !known {
+		l.silent[holder] = &silence{since: now, probeAt: now + holderPause}
+	}
 	l.mu.Unlock()
-	l.o.Log.WithError(err).WithField("team", team).WithField("vm", holder).
-		Warn("the holder of a team's limit did not answer; using the node's own share")
+	if !known {
+		l.o.Log.WithError(err).WithField("team", team).WithField("vm", holder).
+			Warn("the holder of a team's limit did not answer; asking a substitute")
+	}
+}
+
+// isSilent reports whether a holder does not answer. It is probed in the background, so that no request waits for it.
+func (l *leases) isSilent(now time.Duration, holder string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.silent[holder]
+	if s == nil {
+		return false
+	}
+	if !s.probing && now >= s.probeAt {
+		s.probing = true
+		go l.probe(holder, s)
+	}
+	return true
+}
+
+// probe asks a holder for no tokens. One that answers, or that runs no node, is silent no more.
+func (l *leases) probe(holder string, s *silence) {
+	var got leaseAnswer
+	q := leaseRequest{InTouch: l.contact.InTouch(l.o.StoreAge())}
+	err := exchange(l.pool, holder+l.port, leasePath, q, &got, leaseTimeout)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.probing, s.probeAt = false, l.o.Clock.Now()+holderPause
+	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+		delete(l.silent, holder)
+	}
 }
 
 // grant gives tokens from a bucket that this node holds.
-func (l *leases) grant(now time.Duration, team string, limit allowance.Limit, want int) leaseAnswer {
+func (l *leases) grant(now time.Duration, limit allowance.Limit, q leaseRequest) leaseAnswer {
+	if q.Silent != "" {
+		return l.standIn(now, limit, q)
+	}
 	l.holding.Lock()
 	defer l.holding.Unlock()
 	if !l.standing.Whole(now, l.o.StoreAge(), l.own, l.o.View().VMs) {
 		limit = limit.Reduced()
 	}
-	granted, retry := l.buckets.Lease(now, team, limit, want)
+	granted, retry := l.buckets.Lease(now, q.Team, limit, q.Want)
 	return leaseAnswer{Granted: granted, RetryMS: retry.Milliseconds()}
 }
 
+// standIn answers for a holder that does not answer the sender: with the holder's own answer if this node reaches it, and
+// otherwise with a part of the limit.
+func (l *leases) standIn(now time.Duration, limit allowance.Limit, q leaseRequest) leaseAnswer {
+	holder := q.Silent
+	q.Silent = ""
+	got, err := l.call(now, holder, q, relayTimeout)
+	if err == nil && got.Holder == "" {
+		return got
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return l.grant(now, limit, q)
+	}
+	limit = l.contact.Substitute(limit, now-l.silentSince(now, holder), q.Limited)
+	l.holding.Lock()
+	defer l.holding.Unlock()
+	granted, retry := l.buckets.Lease(now, q.Team, limit, q.Want)
+	return leaseAnswer{Granted: granted, RetryMS: retry.Milliseconds(), Substitute: true}
+}
+
+// silentSince returns since when this node has found a holder silent.
+func (l *leases) silentSince(now time.Duration, holder string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.silent[holder]; s != nil {
+		return s.since
+	}
+	return now
+}
+
 // serveHTTP answers another node.
 func (l *leases) serveHTTP(ctx *fasthttp.RequestCtx) {
 	var q leaseRequest
@@ -281,10 +377,11 @@
 	var got leaseAnswer
 	if team := view.Config.Team(q.Team); team != nil {
 		got.Holder = l.contact.Referral(
-			allowance.Asked{Team: team.Name, InTouch: q.InTouch, Refused: q.Refused}, l.own, view.VMs, l.o.StoreAge(),
+			allowance.Asked{Team: team.Name, InTouch: q.InTouch, Refused: append(q.Refused, q.Silent)},
+			l.own, view.VMs, l.o.StoreAge(),
 		)
 		if got.Holder == "" {
-			got = l.grant(l.o.Clock.Now(), team.Name, allowance.Limit{Rate: team.Rate, Burst: team.Burst}, q.Want)
+			got = l.grant(l.o.Clock.Now(), allowance.Limit{Rate: team.Rate, Burst: team.Burst}, q)
 		}
 	}
 	writeBody(ctx, got)
--- a/pkg/forward/lease_test.go
+++ b/pkg/forward/lease_test.go
@@ -1,6 +1,10 @@
 package forward
 
 import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -90,3 +94,41 @@
 	const span = 2 * time.Second
 	g.Expect(float64(m.admitted(team, span, stale))).To(BeNumerically(">=", 0.8*team.Rate*span.Seconds()))
 }
+
+// silentVM adds a VM to the list that accepts connections and answers nothing, and that holds the team.
+func (m *testMesh) silentVM(team string) {
+	view := *m.view.Load()
+	network := view.VMs[0][:strings.LastIndex(view.VMs[0], ".")]
+	for host := 100; ; host++ {
+		vm := fmt.Sprintf("%s.%d", network, host)
+		view.VMs = append(slices.Clone(m.view.Load().VMs), vm)
+		if allowance.Holder(team, view.VMs) != vm {
+			continue
+		}
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", vm, m.ports[1]))
+		if err != nil {
+			m.t.Fatal(err)
+		}
+		m.t.Cleanup(func() { _ = l.Close() })
+		break
+	}
+	m.view.Store(&view)
+	for _, n := range m.nodes {
+		n.ViewChanged(&view)
+	}
+}
+
+// A holder loses its power: requests of its teams were refused until the list dropped it, and each new question to it
+// cost the requests that waited for the answer.
+func TestASubstituteStandsInForASilentHolder(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 3, nil)
+	team := m.limit("red", 200, 20)
+	m.silentVM(team.Name)
+	// Each node learns once that the holder is silent.
+	m.admitted(team, 600*time.Millisecond, 0, 1, 2)
+	const span = time.Second
+	passed := m.admitted(team, span, 0, 1, 2)
+	g.Expect(float64(passed)).To(BeNumerically(">=", 0.45*team.Rate*span.Seconds()))
+	g.Expect(float64(passed)).To(BeNumerically("<=", 0.8*team.Rate*span.Seconds()))
+}
