Send the known wide links with the requests of the feed

Cause: the request's wait had the same JSON name as the list of wide links inside the position and hid it, so the meeting point never learnt of any. Ruled out: changes of the members, and the digest of the links.

--- a/pkg/forward/message.go
+++ b/pkg/forward/message.go
@@ -80,7 +80,7 @@
 // feedRequest asks a reader for what changed after a position.
 type feedRequest struct {
 	mesh.Position
-	WaitMS int64 `json:"w"`
+	WaitMS int64 `json:"t"`
 }
 
 // reader is another node as a source of what the store publishes.
