Refuse requests beyond a team's limit at once

Change: while the holder is out of tokens, a request waits only if the tokens that its node got in the last second reach so far. Ruled out: the holder, which grants the whole limit (118 a second) throughout.

--- a/decision/allowance/allowance.go
+++ b/decision/allowance/allowance.go
@@ -4,6 +4,7 @@
 package allowance
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -31,6 +32,8 @@
 	// limitedTime is how long a team counts as over its limit after its holder had no tokens. It is the window of the
 	// limits.
 	limitedTime = 5 * time.Second
+	// grantWindow is the span over which a node counts the tokens that it gets.
+	grantWindow = time.Second
 	// minRetry is the shortest time after which an empty bucket is asked again.
 	minRetry = 50 * time.Millisecond
 )
@@ -125,6 +128,9 @@
 	emptyUntil time.Duration
 	// limited is when the holder last had no tokens.
 	limited time.Duration
+	// granted is the number of tokens of about the last second, up to grantedAt.
+	granted   float64
+	grantedAt time.Duration
 	// demand is the moving average of the requests a second.
 	demand  float64
 	arrived time.Duration
@@ -168,6 +174,20 @@
 	return b.limited > 0 && now-b.limited < limitedTime
 }
 
+// Hopeless reports whether a request that waits behind others for at most a time is not going to get a token: the team is
+// over its limit, and the tokens that this node gets go to those ahead.
+func (b *Borrower) Hopeless(now time.Duration, ahead int, wait time.Duration) bool {
+	if b.limited == 0 || now-b.limited > grantWindow {
+		return false
+	}
+	return float64(ahead) >= b.recent(now)*wait.Seconds()/grantWindow.Seconds()+1
+}
+
+// recent returns the number of tokens granted within about grantWindow.
+func (b *Borrower) recent(now time.Duration) float64 {
+	return b.granted * math.Exp(-float64(now-b.grantedAt)/float64(grantWindow))
+}
+
 // Granted takes the answer to a question that was asked at a time. A substitute without tokens does not show that the
 // team is over its limit.
 func (b *Borrower) Granted(asked time.Duration, granted int, retry time.Duration, substitute bool) {
@@ -180,6 +200,7 @@
 	}
 	b.tokens += granted
 	b.expires = asked + LeaseTime
+	b.granted, b.grantedAt = b.recent(asked)+float64(granted), asked
 }
 
 // TakeSeparately uses the node's own share while the holder is not reached; stranded says that the node has lost the
--- a/pkg/forward/lease.go
+++ b/pkg/forward/lease.go
@@ -138,7 +138,7 @@
 		l.mu.Unlock()
 		return true
 	}
-	if b.EmptyFor(now) > tokenWait {
+	if b.EmptyFor(now) > tokenWait || b.Hopeless(now, len(b.waiting), tokenWait) {
 		l.mu.Unlock()
 		return false
 	}
--- a/pkg/forward/lease_test.go
+++ b/pkg/forward/lease_test.go
@@ -132,3 +132,39 @@
 	g.Expect(float64(passed)).To(BeNumerically(">=", 0.45*team.Rate*span.Seconds()))
 	g.Expect(float64(passed)).To(BeNumerically("<=", 0.8*team.Rate*span.Seconds()))
 }
+
+// A team sends many times its limit: each of its requests waited 200 ms for a token that others got, and its caller learnt
+// late that it is refused.
+func TestARequestBeyondTheLimitIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 3, nil)
+	team := m.limit("red", 60, 10)
+	var mu sync.Mutex
+	var waits []time.Duration
+	admitted := 0
+	var asking sync.WaitGroup
+	const span = 2 * time.Second
+	end := time.Now().Add(span)
+	for _, n := range m.nodes {
+		for range 40 {
+			asking.Go(func() {
+				for time.Now().Before(end) {
+					asked := time.Now()
+					ok := n.leases.admit(team)
+					mu.Lock()
+					if ok {
+						admitted++
+					} else {
+						waits = append(waits, time.Since(asked))
+					}
+					mu.Unlock()
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+	}
+	asking.Wait()
+	slices.Sort(waits)
+	g.Expect(waits[len(waits)/2]).To(BeNumerically("<", tokenWait/4))
+	g.Expect(float64(admitted)).To(BeNumerically(">=", 0.85*team.Rate*span.Seconds()))
+}
