--- a/pkg/forward/lease_test.go
+++ b/pkg/forward/lease_test.go
@@ -37,9 +37,9 @@
 	return passed.Load()
 }
 
-// limit sets the allowance of a team, in requests a second and requests.
-func (m *testMesh) limit(name string, rate, burst float64) *mesh.Team {
-	team := m.view.Load().Config.Team(name)
+// limit sets the allowance of the mesh's team, in requests a second and requests.
+func (m *testMesh) limit(rate, burst float64) *mesh.Team {
+	team := m.view.Load().Config.Team("red")
 	team.Rate, team.Burst = rate, burst
 	return team
 }
@@ -76,7 +76,7 @@
 func TestAReplacedHolderGrantsNothingToANodeWithAnOldList(t *testing.T) {
 	g := NewWithT(t)
 	m := newTestMesh(t, 3, nil)
-	team := m.limit("red", 100, 10)
+	team := m.limit(100, 10)
 	holder, stale := m.shrinkList(team.Name)
 	const span = 3 * time.Second
 	passed := m.admitted(team, span, holder, stale)
@@ -89,7 +89,7 @@
 func TestANodeWithAnOldListIsSentToTheHolder(t *testing.T) {
 	g := NewWithT(t)
 	m := newTestMesh(t, 3, nil)
-	team := m.limit("red", 100, 10)
+	team := m.limit(100, 10)
 	_, stale := m.shrinkList(team.Name)
 	const span = 2 * time.Second
 	g.Expect(float64(m.admitted(team, span, stale))).To(BeNumerically(">=", 0.8*team.Rate*span.Seconds()))
@@ -123,7 +123,7 @@
 func TestASubstituteStandsInForASilentHolder(t *testing.T) {
 	g := NewWithT(t)
 	m := newTestMesh(t, 3, nil)
-	team := m.limit("red", 200, 20)
+	team := m.limit(200, 20)
 	m.silentVM(team.Name)
 	// Each node learns once that the holder is silent.
 	m.admitted(team, 600*time.Millisecond, 0, 1, 2)
@@ -138,7 +138,7 @@
 func TestARequestBeyondTheLimitIsRefusedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	m := newTestMesh(t, 3, nil)
-	team := m.limit("red", 60, 10)
+	team := m.limit(60, 10)
 	var mu sync.Mutex
 	var waits []time.Duration
 	admitted := 0
