Move experiments out of pkg and let the soak use the stand-in link

Load replay, slopes and soak lie in experiments, so that pkg holds what runs in production. The soak's own proxy repeated the stand-in link, which now freezes one direction, changes its delay and resets connections.

--- a/cmd/bamboodeal-load/generate.go
+++ b/cmd/bamboodeal-load/generate.go
@@ -7,7 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/bamboodeal/bamboodeal/pkg/load/demo"
+	"github.com/bamboodeal/bamboodeal/experiments/load/demo"
 )
 
 func generateCommand() command {
--- a/cmd/bamboodeal-load/main.go
+++ b/cmd/bamboodeal-load/main.go
@@ -15,8 +15,8 @@
 	"github.com/integrii/flaggy"
 	"github.com/mattn/go-isatty"
 
-	"github.com/bamboodeal/bamboodeal/pkg/load"
-	"github.com/bamboodeal/bamboodeal/pkg/load/demo"
+	"github.com/bamboodeal/bamboodeal/experiments/load"
+	"github.com/bamboodeal/bamboodeal/experiments/load/demo"
 	"github.com/bamboodeal/bamboodeal/pkg/trace"
 )
 
--- a/cmd/bamboodeal-load/measure.go
+++ b/cmd/bamboodeal-load/measure.go
@@ -10,8 +10,8 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/bamboodeal/bamboodeal/pkg/load"
-	"github.com/bamboodeal/bamboodeal/pkg/load/demo"
+	"github.com/bamboodeal/bamboodeal/experiments/load"
+	"github.com/bamboodeal/bamboodeal/experiments/load/demo"
 )
 
 // watchersCommand measures the baseline of the distribution.
--- a/cmd/bamboodeal-load/replay.go
+++ b/cmd/bamboodeal-load/replay.go
@@ -11,7 +11,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/bamboodeal/bamboodeal/pkg/load"
+	"github.com/bamboodeal/bamboodeal/experiments/load"
 	"github.com/bamboodeal/bamboodeal/pkg/trace"
 	"github.com/bamboodeal/bamboodeal/standin/upstream"
 )
--- a/cmd/bamboodeal-slopes/main.go
+++ b/cmd/bamboodeal-slopes/main.go
@@ -14,7 +14,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/bamboodeal/bamboodeal/pkg/slopes"
+	"github.com/bamboodeal/bamboodeal/experiments/slopes"
 )
 
 // version is set by the linker.
--- a/cmd/bamboodeal-soak/main.go
+++ b/cmd/bamboodeal-soak/main.go
@@ -17,7 +17,7 @@
 	"github.com/mattn/go-isatty"
 	"github.com/sirupsen/logrus"
 
-	"github.com/bamboodeal/bamboodeal/soak"
+	"github.com/bamboodeal/bamboodeal/experiments/soak"
 )
 
 // version is set by the linker.
--- a/decision/invariants/world.go
+++ b/decision/invariants/world.go
@@ -2,7 +2,7 @@
 // that happen together, and checks the invariants of section 1.1 of the design. Runs with one seed are identical.
 //
 // Two invariants need real connections as well: 8 (whole answers) is also checked by the tests of pkg/peer and
-// pkg/gateway, and 12 (graceful stop) only by those of pkg/node and pkg/load/demo.
+// pkg/gateway, and 12 (graceful stop) only by those of pkg/node and experiments/load/demo.
 package invariants
 
 import (
--- a/pkg/load/demo/demo_test.go
+++ b/experiments/load/demo/demo_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/bamboodeal/bamboodeal/api/bundle"
 	"github.com/bamboodeal/bamboodeal/api/config"
-	"github.com/bamboodeal/bamboodeal/pkg/load"
+	"github.com/bamboodeal/bamboodeal/experiments/load"
 	"github.com/bamboodeal/bamboodeal/pkg/trace"
 	"github.com/bamboodeal/bamboodeal/standin/platform"
 )
--- a/pkg/load/demo/failures_test.go
+++ b/experiments/load/demo/failures_test.go
@@ -13,7 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/bamboodeal/bamboodeal/pkg/load"
+	"github.com/bamboodeal/bamboodeal/experiments/load"
 	"github.com/bamboodeal/bamboodeal/pkg/trace"
 	"github.com/bamboodeal/bamboodeal/standin/link"
 	"github.com/bamboodeal/bamboodeal/standin/upstream"
--- a/pkg/load/demo/figures_test.go
+++ b/experiments/load/demo/figures_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/bamboodeal/bamboodeal/pkg/load"
+	"github.com/bamboodeal/bamboodeal/experiments/load"
 	"github.com/bamboodeal/bamboodeal/pkg/trace"
 )
 
--- a/pkg/load/demo/mesh.go
+++ b/experiments/load/demo/mesh.go
@@ -16,7 +16,7 @@
 
 	"github.com/bamboodeal/bamboodeal/api/config"
 	"github.com/bamboodeal/bamboodeal/api/wire"
-	"github.com/bamboodeal/bamboodeal/pkg/load"
+	"github.com/bamboodeal/bamboodeal/experiments/load"
 	"github.com/bamboodeal/bamboodeal/pkg/trace"
 	"github.com/bamboodeal/bamboodeal/standin/link"
 	"github.com/bamboodeal/bamboodeal/standin/platform"
--- a/pkg/load/demo/run.go
+++ b/experiments/load/demo/run.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/bamboodeal/bamboodeal/api/config"
-	"github.com/bamboodeal/bamboodeal/pkg/load"
+	"github.com/bamboodeal/bamboodeal/experiments/load"
 	"github.com/bamboodeal/bamboodeal/pkg/trace"
 )
 
--- a/pkg/slopes/mesh.go
+++ b/experiments/slopes/mesh.go
@@ -14,7 +14,7 @@
 	"github.com/bamboodeal/bamboodeal/api/config"
 	api "github.com/bamboodeal/bamboodeal/api/platform"
 	"github.com/bamboodeal/bamboodeal/api/wire"
-	"github.com/bamboodeal/bamboodeal/pkg/load"
+	"github.com/bamboodeal/bamboodeal/experiments/load"
 	"github.com/bamboodeal/bamboodeal/standin/link"
 	"github.com/bamboodeal/bamboodeal/standin/platform"
 	"github.com/bamboodeal/bamboodeal/standin/upstream"
--- a/soak/faults.go
+++ b/experiments/soak/faults.go
@@ -7,6 +7,7 @@
 
 	"github.com/bamboodeal/bamboodeal/pkg/mesh"
 	"github.com/bamboodeal/bamboodeal/platform/platformtest"
+	"github.com/bamboodeal/bamboodeal/standin/link"
 )
 
 const (
@@ -93,21 +94,24 @@
 	}},
 }
 
-// harmLinks delays, silences or cuts the paths to some nodes, one way or both.
+// harmLinks delays the paths to some nodes or silences them, one way or both.
 func harmLinks(s *soak, r *source) {
-	state := condition(1 + r.number(int(conditions)-1))
+	mode, delay := link.Open, r.duration(0, longestDelay)
+	if n := r.number(len(harms) + 1); n < len(harms) {
+		mode, delay = harms[n], 0
+	}
 	chosen := r.some(len(s.vms), len(s.vms)/2)
-	harmed := make([]*proxy, 0, 2*len(chosen))
+	harmed := make([]*path, 0, 2*len(chosen))
 	for _, i := range chosen {
 		v := s.vms[i]
-		harmed = append(harmed, [][]*proxy{{v.peers}, {v.upstreams}, {v.store}, {v.peers, v.store}}[r.number(4)]...)
+		harmed = append(harmed, [][]*path{{v.peers}, {v.upstreams}, {v.store}, {v.peers, v.store}}[r.number(4)]...)
 	}
 	for _, p := range harmed {
-		p.set(state)
+		p.harm(mode, delay)
 	}
 	time.Sleep(r.duration(shortestFault, longestFault))
 	for _, p := range harmed {
-		p.set(passing)
+		p.harm(link.Open, 0)
 	}
 }
 
--- a/soak/soak.go
+++ b/experiments/soak/soak.go
@@ -30,6 +30,8 @@
 	// finalTime is how long requests are then counted, and finalShare the part of them that has to be served.
 	finalTime  = 2 * time.Second
 	finalShare = 0.95
+	// readyPoll is how often a node that starts is asked whether it is ready.
+	readyPoll = 20 * time.Millisecond
 	// memoryBoundMB is the memory of one node at the target size.
 	memoryBoundMB = 128
 )
@@ -146,7 +148,7 @@
 			if time.Now().After(deadline) {
 				return eris.Errorf("%s is not ready after %s; see its log in %s", v.name, readyTimeout, s.o.Directory)
 			}
-			time.Sleep(holdPoll)
+			time.Sleep(readyPoll)
 		}
 	}
 	return nil
--- a/soak/soak_test.go
+++ b/experiments/soak/soak_test.go
@@ -24,7 +24,7 @@
 func program(t *testing.T) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "bamboodeal-sidecar")
-	if out, err := exec.Command("go", "build", "-o", path, "../cmd/bamboodeal-sidecar").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", path, "../../cmd/bamboodeal-sidecar").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
 	return path
--- a/soak/vm.go
+++ b/experiments/soak/vm.go
@@ -17,6 +17,7 @@
 
 	"github.com/bamboodeal/bamboodeal/platform"
 	"github.com/bamboodeal/bamboodeal/platform/platformtest"
+	"github.com/bamboodeal/bamboodeal/standin/link"
 )
 
 const (
@@ -30,13 +31,13 @@
 	filePerm  = 0o600
 )
 
-// vm is an address of loopback with a node, its upstream, and the proxies in front of what the node uses.
+// vm is an address of loopback with a node, its upstream, and the paths to them and to the store.
 type vm struct {
 	name     string
 	settings platformtest.Node
 	upstream *upstream
 	// peers, upstreams and store carry the connections of other nodes, to the upstream and to the store.
-	peers, upstreams, store *proxy
+	peers, upstreams, store *path
 
 	soak *soak
 	path string
@@ -76,14 +77,16 @@
 		Heartbeat: heartbeat, StopGrace: stopGrace, ColdOver: coldOver, ColdSlack: coldSlack,
 	}
 	random := newSource(s.o.Seed, uint64(100+i))
-	v.peers = newProxy(v.settings.Peer, v.settings.PeerListen, random, s.o.Log)
-	v.upstreams = newProxy(v.settings.Upstream, at(5), random, s.o.Log)
-	v.store = newProxy(v.settings.Store, storeAddress, random, s.o.Log)
+	to := func(address, target string) *path {
+		return &path{options: link.Options{Address: address, Target: target}, log: s.o.Log}
+	}
+	v.peers, v.upstreams = to(v.settings.Peer, v.settings.PeerListen), to(v.settings.Upstream, at(5))
+	v.store = to(v.settings.Store, storeAddress)
 	v.upstream = newUpstream(v, v.settings.Service, s.store, s.ledger, random)
 	if err := v.upstream.serve(at(5)); err != nil {
 		return nil, err
 	}
-	for _, p := range []*proxy{v.upstreams, v.store} {
+	for _, p := range []*path{v.upstreams, v.store} {
 		if err := p.open(); err != nil {
 			return nil, err
 		}
--- a/standin/link/control.go
+++ b/standin/link/control.go
@@ -46,9 +46,10 @@
 		return err
 	}
 	switch request.Mode {
-	case Open, Cut, Frozen:
+	case Open, Cut, Frozen, FrozenForward, FrozenBackward:
 	default:
-		return fmt.Errorf("mode %q is none of \"\", %q, %q", request.Mode, Cut, Frozen)
+		return fmt.Errorf("mode %q is none of \"\", %q, %q, %q, %q",
+			request.Mode, Cut, Frozen, FrozenForward, FrozenBackward)
 	}
 	for _, l := range links {
 		if l.Address() == request.Address {
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -20,8 +20,25 @@
 	Cut Mode = "cut"
 	// Frozen accepts and relays nothing more on any connection, without closing it.
 	Frozen Mode = "frozen"
+	// FrozenForward and FrozenBackward do so in one direction: to the target, or from it.
+	FrozenForward  Mode = "frozen_forward"
+	FrozenBackward Mode = "frozen_backward"
 )
 
+// frozen returns the directions in which a mode relays nothing.
+func (m Mode) frozen() []direction {
+	switch m {
+	case Frozen:
+		return []direction{forward, backward}
+	case FrozenForward:
+		return []direction{forward}
+	case FrozenBackward:
+		return []direction{backward}
+	case Open, Cut:
+	}
+	return nil
+}
+
 // Options configures a Link.
 type Options struct {
 	// Address is where it listens, Target where it relays to.
@@ -81,19 +98,37 @@
 	l.mu.Lock()
 	l.mode = m
 	l.mu.Unlock()
-	switch m {
-	case Cut:
+	if m == Cut {
 		l.closePipes()
-	case Frozen:
-		l.FreezeOpen()
-	case Open:
+	}
+	l.freeze(m)
+}
+
+// SetDelay changes the one-way latency, of open connections too.
+func (l *Link) SetDelay(d time.Duration) {
+	l.mu.Lock()
+	l.options.Delay = func(string) time.Duration { return d }
+	l.mu.Unlock()
+	for _, p := range l.open() {
+		p.delay.Store(int64(d))
+	}
+}
+
+// Reset breaks the connections that are open now; both ends see a reset.
+func (l *Link) Reset() {
+	for _, p := range l.open() {
+		p.reset()
 	}
 }
 
 // FreezeOpen makes the connections that are open now silent for good, while new ones work.
-func (l *Link) FreezeOpen() {
+func (l *Link) FreezeOpen() { l.freeze(Frozen) }
+
+func (l *Link) freeze(m Mode) {
 	for _, p := range l.open() {
-		p.freeze()
+		for _, d := range m.frozen() {
+			p.freeze(d)
+		}
 	}
 }
 
@@ -165,16 +200,19 @@
 	if l.closed || l.mode == Cut {
 		return false
 	}
-	if l.mode == Frozen {
-		p.freeze()
+	for _, d := range l.mode.frozen() {
+		p.freeze(d)
 	}
 	l.pipes[p] = struct{}{}
 	return true
 }
 
 func (l *Link) delay(source string) time.Duration {
-	if l.options.Delay != nil {
-		return l.options.Delay(source)
+	l.mu.Lock()
+	delay := l.options.Delay
+	l.mu.Unlock()
+	if delay != nil {
+		return delay(source)
 	}
 	return time.Duration(l.options.DelayUS) * time.Microsecond
 }
--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -137,3 +137,42 @@
 	g.Expect(c.(*net.TCPConn).CloseWrite()).To(Succeed())
 	g.Expect(io.ReadAll(c)).To(BeEquivalentTo("whole"))
 }
+
+// A path that fails in one direction only must look alive from the other.
+func TestOneDirectionIsFrozen(t *testing.T) {
+	for mode, arrives := range map[link.Mode]bool{link.FrozenForward: false, link.FrozenBackward: true} {
+		t.Run(string(mode), func(t *testing.T) {
+			g := NewWithT(t)
+			received := make(chan []byte, 1)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = ln.Close() }()
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				b := make([]byte, 1)
+				if _, err := io.ReadFull(c, b); err == nil {
+					_, _ = c.Write(b)
+					received <- b
+				}
+			}()
+			l := open(t, link.Options{Target: ln.Addr().String()})
+			l.SetMode(mode)
+			c, err := net.Dial("tcp", l.Address())
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = c.Close() }()
+			_, err = c.Write([]byte("x"))
+			g.Expect(err).NotTo(HaveOccurred())
+			if arrives {
+				g.Eventually(received).Should(Receive())
+			} else {
+				g.Consistently(received, "100ms").ShouldNot(Receive())
+			}
+			g.Expect(c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+			_, err = c.Read(make([]byte, 1))
+			g.Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+		})
+	}
+}
