--- a/pkg/forward/lease.go
+++ b/pkg/forward/lease.go
@@ -65,12 +65,14 @@
 
 	contact allowance.Contact
 
+	// holding guards what this node holds as a holder; mu guards what it knows as a borrower.
 	holding  sync.Mutex
 	buckets  *allowance.Buckets
 	standing *allowance.Standing
 
-	mu     sync.Mutex
-	teams  map[string]*borrowed
+	mu    sync.Mutex
+	teams map[string]*borrowed
+	// silent are the holders that do not answer, by VM.
 	silent map[string]*silence
 }
 
@@ -314,6 +316,8 @@
 	s.probing, s.probeAt = false, l.o.Clock.Now()+holderPause
 	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 		delete(l.silent, holder)
+		l.o.Log.WithField("vm", holder).WithField("silent_ms", (l.o.Clock.Now() - s.since).Milliseconds()).
+			Info("the holder of teams' limits responds again")
 	}
 }
 
