--- a/experiments/load/demo/demo_test.go
+++ b/experiments/load/demo/demo_test.go
@@ -108,7 +108,7 @@
 	for _, name := range []string{"estanho", "mantaleve"} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			f, err := os.Open(filepath.Join("..", "..", "trace", "testdata", name+"-excerpt.json"))
+			f, err := os.Open(filepath.Join("..", "..", "..", "pkg", "trace", "testdata", name+"-excerpt.json"))
 			g.Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = f.Close() }()
 			recorded, err := trace.Read(f)
