Use the terms of the field and name the remaining times

A soak at a terminal passed an interrupt on to its nodes, which then counted as ends by themselves; they get a process group of their own. No decision and no message changes.

--- a/cmd/bamboodeal-sidecar/main.go
+++ b/cmd/bamboodeal-sidecar/main.go
@@ -37,8 +37,8 @@
 const wideLinkMbps = 40
 
 const (
-	// gcPercent trades processor time for memory: the live heap of a node is a few megabytes, and memory costs ten times
-	// as much as the processor time of the collections.
+	// gcPercent trades processor time for memory: the live heap of a node is a few megabytes, and where memory is
+	// dear its peak costs about ten times as much as all processor time.
 	gcPercent = 20
 	// memoryShare is the part, in percent, of the VM's memory that the runtime tries to stay below.
 	memoryShare = 60
--- a/cmd/bamboodeal-soak/main.go
+++ b/cmd/bamboodeal-soak/main.go
@@ -1,4 +1,4 @@
-// Command bamboodeal-soak plays random faults against nodes on loopback and checks the promises of the system.
+// Command bamboodeal-soak plays random faults against nodes on loopback and checks the guarantees of the system.
 package main
 
 import (
@@ -53,7 +53,7 @@
 	flaggy.SetDescription("plays random faults against nodes on loopback; writes a line of JSON for each seed and one at the end")
 	flaggy.SetVersion(version)
 	flaggy.String(&a.program, "", "program", "program of the node")
-	flaggy.String(&a.work, "", "work-directory", "directory for settings and logs; those of a seed that kept all promises are removed")
+	flaggy.String(&a.work, "", "work-directory", "directory for settings and logs; those of a seed that kept all guarantees are removed")
 	flaggy.Int(&a.first, "", "seed", "first seed")
 	flaggy.Int(&a.count, "", "seeds", "number of seeds from the first on")
 	flaggy.Float64(&a.minutes, "", "minutes", "play fresh seeds for so many minutes instead")
@@ -96,7 +96,7 @@
 	return nil
 }
 
-// run plays the seeds and returns how many broke a promise.
+// run plays the seeds and returns how many broke a guarantee.
 func (a *arguments) run() (broken int, err error) {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/decision/allowance/allowance.go
+++ b/decision/allowance/allowance.go
@@ -24,9 +24,9 @@
 	// holder grants the whole rate to the nodes that reach it, even if it is alone on its side of a partition, so
 	// the others together have to stay within the tolerance of the limit, which is a quarter.
 	separateShare = 0.2
-	// strandedShare is the same for a node that has lost the store too. It is then cut off itself, with at most half of
+	// isolatedShare is the same for a node that has lost the store too. It is then cut off itself, with at most half of
 	// the nodes, or the store is away from all and the holder that it does not reach serves few others.
-	strandedShare = 0.55
+	isolatedShare = 0.55
 	// substituteTime is how long a substitute keeps a bucket without being asked.
 	substituteTime = 2 * time.Second
 	// limitedTime is how long a team counts as over its limit after its holder had no tokens. It is the window of the
@@ -174,9 +174,9 @@
 	return b.limited > 0 && now-b.limited < limitedTime
 }
 
-// Hopeless reports whether a request that waits behind others for at most a time is not going to get a token: the team is
+// Exhausted reports whether a request that waits behind others for at most a time is not going to get a token: the team is
 // over its limit, and the tokens that this node gets go to those ahead.
-func (b *Borrower) Hopeless(now time.Duration, ahead int, wait time.Duration) bool {
+func (b *Borrower) Exhausted(now time.Duration, ahead int, wait time.Duration) bool {
 	if b.limited == 0 || now-b.limited > grantWindow {
 		return false
 	}
@@ -203,12 +203,12 @@
 	b.granted, b.grantedAt = b.recent(asked)+float64(granted), asked
 }
 
-// TakeSeparately uses the node's own share while the holder is not reached; stranded says that the node has lost the
+// TakeSeparately uses the node's own share while the holder is not reached; isolated says that the node has lost the
 // store as well.
-func (b *Borrower) TakeSeparately(now time.Duration, l Limit, nodes int, stranded bool) bool {
+func (b *Borrower) TakeSeparately(now time.Duration, l Limit, nodes int, isolated bool) bool {
 	part := separateShare
-	if stranded {
-		part = strandedShare
+	if isolated {
+		part = isolatedShare
 	}
 	share := l.Rate * part / float64(max(1, nodes))
 	s := &b.separate
--- a/decision/allowance/standing.go
+++ b/decision/allowance/standing.go
@@ -9,11 +9,11 @@
 	// lapseBeats is the silence, in heartbeats, after which the store may remove the entry of an upstream: it waits for
 	// three, the first of which may be nearly over when the contact breaks.
 	lapseBeats = 2.5
-	// standingBeats is how long a question of another node counts, and touchBeats how old that node's own contact to
+	// standingBeats is how long a question of another node counts, and connectedBeats how old that node's own contact to
 	// the store may be, in heartbeats. Together they stay below lapseBeats, or nodes that are cut off together would
-	// vouch for each other.
-	standingBeats = 1.25
-	touchBeats    = 1.0
+	// confirm each other as holders.
+	standingBeats  = 1.25
+	connectedBeats = 1.0
 	// substituteBeats is how long a substitute stands in for a silent holder, in heartbeats; the list of VMs then drops one
 	// that has lost its power.
 	substituteBeats = 2
@@ -33,8 +33,8 @@
 
 func (c Contact) beats(n float64) time.Duration { return time.Duration(n * float64(c.Heartbeat)) }
 
-// InTouch reports whether a node whose contact to the store is of this age vouches for a holder.
-func (c Contact) InTouch(storeAge time.Duration) bool { return storeAge < c.beats(touchBeats) }
+// Connected reports whether a node whose contact to the store is of this age confirms a holder.
+func (c Contact) Connected(storeAge time.Duration) bool { return storeAge < c.beats(connectedBeats) }
 
 // Standing tells whether a holder may grant the whole rate of its teams. A holder that is cut off together with some
 // other nodes goes on serving them, while the list of the rest has dropped it and another holder grants the same rate.
@@ -51,10 +51,10 @@
 	return &Standing{contact: c, confirmed: -c.beats(standingBeats), heard: map[string]time.Duration{}}
 }
 
-// Asked notes a question of another VM; inTouch says that it is in contact with the store.
-func (s *Standing) Asked(now time.Duration, vm string, inTouch bool) {
+// Asked notes a question of another VM; connected says that it is in contact with the store.
+func (s *Standing) Asked(now time.Duration, vm string, connected bool) {
 	s.heard[vm] = now
-	if inTouch {
+	if connected {
 		s.confirmed = now
 	}
 }
@@ -95,8 +95,8 @@
 // Asked is a question for tokens of a team as the receiver sees it.
 type Asked struct {
 	Team string
-	// InTouch says that the asking node is in contact with the store, so its list of VMs is recent.
-	InTouch bool
+	// Connected says that the asking node is in contact with the store, so its list of VMs is recent.
+	Connected bool
 	// Refused are the VMs that refused the asking node's connection.
 	Refused []string
 }
@@ -105,7 +105,7 @@
 // answer it. Only a receiver in contact with the store corrects a node that is not: the upstream beside a holder can
 // leave the list while its node lives, and nodes with the old list would otherwise draw a second rate from it.
 func (c Contact) Referral(q Asked, own string, vms []string, storeAge time.Duration) string {
-	if q.InTouch || !c.InTouch(storeAge) {
+	if q.Connected || !c.Connected(storeAge) {
 		return ""
 	}
 	left := make([]string, 0, len(vms))
--- a/decision/allowance/standing_test.go
+++ b/decision/allowance/standing_test.go
@@ -45,9 +45,9 @@
 	g.Expect(s.Whole(time.Minute, time.Hour, "a", vms)).To(BeTrue())
 }
 
-// Nodes that are cut off together vouched for their holder for 7 s, while the list of the rest drops it after three
+// Nodes that are cut off together confirmed their holder for 7 s, while the list of the rest drops it after three
 // heartbeats. With heartbeats of 0.87 s fixed times let both holders grant the whole rate for 2 s.
-func TestNodesThatAreCutOffTogetherVouchForAShortTime(t *testing.T) {
+func TestNodesThatAreCutOffTogetherConfirmTheirHolderForAShortTime(t *testing.T) {
 	for _, beat := range []time.Duration{870 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
 		t.Run(beat.String(), func(t *testing.T) {
 			g := NewWithT(t)
@@ -55,7 +55,7 @@
 			s := NewStanding(c)
 			const cut = time.Minute
 			for now := cut; now < cut+5*beat; now += 10 * time.Millisecond {
-				s.Asked(now, "b", c.InTouch(now-cut))
+				s.Asked(now, "b", c.Connected(now-cut))
 				if s.Whole(now, now-cut, "a", vms) {
 					g.Expect(now - cut).To(BeNumerically("<", 3*beat))
 				}
@@ -75,7 +75,7 @@
 	// A substitute answers for a holder that runs no node.
 	g.Expect(contact.Referral(Asked{Team: "red", Refused: ranked[:1]}, ranked[1], vms, 0)).To(BeEmpty())
 	// Lists of the same age are not corrected, and neither is one by a node that has lost the store.
-	g.Expect(contact.Referral(Asked{Team: "red", InTouch: true}, ranked[0], ranked[1:], 0)).To(BeEmpty())
+	g.Expect(contact.Referral(Asked{Team: "red", Connected: true}, ranked[0], ranked[1:], 0)).To(BeEmpty())
 	g.Expect(contact.Referral(q, ranked[0], ranked[1:], time.Minute)).To(BeEmpty())
 }
 
--- a/decision/distribution/distributiontest/world.go
+++ b/decision/distribution/distributiontest/world.go
@@ -16,9 +16,12 @@
 // TickInterval is the interval of the nodes' ticks.
 const TickInterval = 100 * time.Millisecond
 
+// longestSlowness bounds the extra latency of a late message. It is a choice of the model, far above the usual 0.5 to 3 ms.
+const longestSlowness = 400 * time.Millisecond
+
 // Network says how messages travel.
 type Network struct {
-	// Loss, Double and Slow are probabilities of a message being lost, delivered twice, or late by up to 400 ms.
+	// Loss, Double and Slow are probabilities of a message being lost, delivered twice, or late by up to longestSlowness.
 	Loss, Double, Slow float64
 	// Broken is the probability of a delivery in which a value does not match its digest.
 	Broken float64
@@ -141,7 +144,7 @@
 			latency += 1500 * time.Microsecond
 		}
 		if w.chance(w.Network.Slow) {
-			latency += time.Duration(w.Random.Int64N(int64(400 * time.Millisecond)))
+			latency += time.Duration(w.Random.Int64N(int64(longestSlowness)))
 		}
 		w.After(latency, deliver)
 	}
--- a/decision/feeding/readers.go
+++ b/decision/feeding/readers.go
@@ -79,8 +79,8 @@
 	reader bool
 	// failures counts the readers that failed.
 	failures uint64
-	// meetAt is when a reader next asks the meeting point.
-	meetAt time.Duration
+	// rendezvousAt is when a reader next asks the rendezvous node.
+	rendezvousAt time.Duration
 }
 
 // NewSources returns the sources of the node of a VM.
@@ -92,8 +92,8 @@
 // known to answer.
 func (s *Sources) Next(now time.Duration, members []Member) string {
 	order := s.order(now, members)
-	if vm := s.meetingPoint(members); vm != Store && now >= s.meetAt && now >= s.suspended[vm] {
-		s.meetAt = now + changeInterval
+	if vm := s.rendezvous(members); vm != Store && now >= s.rendezvousAt && now >= s.suspended[vm] {
+		s.rendezvousAt = now + changeInterval
 		return vm
 	}
 	for _, name := range order {
@@ -143,9 +143,9 @@
 	return slices.Concat(wide, store, narrow)
 }
 
-// meetingPoint returns the VM where nodes of a data centre learn which of them have wide links. Readers that know only
+// rendezvous returns the VM where nodes of a data centre learn which of them have wide links. Readers that know only
 // themselves would all read the store.
-func (s *Sources) meetingPoint(members []Member) string {
+func (s *Sources) rendezvous(members []Member) string {
 	best := Store
 	for _, m := range members {
 		if m.DataCentre == s.dataCentre && m.VM != s.own && (best == Store || rank(m.VM) < rank(best)) {
--- a/decision/feeding/readers_test.go
+++ b/decision/feeding/readers_test.go
@@ -20,7 +20,7 @@
 	return members
 }
 
-// follow returns the source of a node once it has been at the meeting point.
+// follow returns the source of a node once it has been at the rendezvous node.
 func follow(vm, dataCentre string, members []Member) string {
 	s := NewSources(vm, dataCentre)
 	s.Next(0, members)
--- a/decision/measurements/mesh.go
+++ b/decision/measurements/mesh.go
@@ -22,8 +22,14 @@
 	overShare = 0.0917
 )
 
-// lags are how long the platform's list takes to show that a data centre has gone or returned.
-var lags = []time.Duration{time.Second, 5 * time.Second}
+// Two cases of how long the platform's list takes to show that a data centre has gone or returned; the longer one is the
+// time within which a data centre has to be out of use.
+const (
+	shortLag = time.Second
+	longLag  = 5 * time.Second
+)
+
+var lags = []time.Duration{shortLag, longLag}
 
 func sizeOf(set *config.Set) mesh.Size {
 	upstreams := 0
--- a/decision/routing/table.go
+++ b/decision/routing/table.go
@@ -65,6 +65,13 @@
 // maxCandidates is the number of upstreams of a service that one entry node uses.
 const maxCandidates = 8
 
+// Defaults of the times in Config, which says what each does. They are choices of this package without a bound behind them.
+const (
+	defaultEjectFirst = 500 * time.Millisecond
+	defaultEjectMax   = 30 * time.Second
+	defaultReturn     = 5 * time.Second
+)
+
 // Table is the routing state of one entry node.
 type Table struct {
 	cfg   Config
@@ -76,9 +83,9 @@
 
 // NewTable returns a table without evidence.
 func NewTable(cfg Config, source *rand.Rand) *Table {
-	setDefault(&cfg.EjectFirst, 500*time.Millisecond)
-	setDefault(&cfg.EjectMax, 30*time.Second)
-	setDefault(&cfg.Return, 5*time.Second)
+	setDefault(&cfg.EjectFirst, defaultEjectFirst)
+	setDefault(&cfg.EjectMax, defaultEjectMax)
+	setDefault(&cfg.Return, defaultReturn)
 	return &Table{cfg: cfg, rand: source, peers: map[string]*peer{}}
 }
 
--- a/decision/slots/queue.go
+++ b/decision/slots/queue.go
@@ -34,12 +34,12 @@
 	burstTime = time.Second
 	// overloadShare is the share above which late answers are given up.
 	overloadShare = 0.8
-	// patienceFactor is the multiple of the usual service time, and shortestPatience the least time, for which an
+	// tryTimeoutFactor is the multiple of the usual service time, and shortestTryTimeout the least time, for which an
 	// answer is waited for that can be had elsewhere. Service times vary by a factor of four in 99 of 100 requests.
-	patienceFactor   = 5
-	shortestPatience = 100 * time.Millisecond
-	// patienceSamples is the number of samples from which the usual service time of a route is known.
-	patienceSamples = 8
+	tryTimeoutFactor   = 5
+	shortestTryTimeout = 100 * time.Millisecond
+	// tryTimeoutSamples is the number of samples from which the usual service time of a route is known.
+	tryTimeoutSamples = 8
 	// tolerance is the part of the time left that the estimate of a request's end may use up; the rest covers the
 	// spread of service times.
 	tolerance = 0.8
@@ -157,14 +157,14 @@
 	return max(0, min(q.mean, (r.Objective-now)/2))
 }
 
-// Patience returns how long an answer is waited for that can also be had elsewhere: a few times the usual, so that an
+// TryTimeout returns how long an answer is waited for that can also be had elsewhere: a few times the usual, so that an
 // answer that never comes does not hold the slot of its caller until the deadline.
 // It returns 0 while the usual time of the route is not known.
-func (q *Queue) Patience(route string) time.Duration {
-	if q.samples[route] < patienceSamples {
+func (q *Queue) TryTimeout(route string) time.Duration {
+	if q.samples[route] < tryTimeoutSamples {
 		return 0
 	}
-	return max(shortestPatience, patienceFactor*q.latency[route])
+	return max(shortestTryTimeout, tryTimeoutFactor*q.latency[route])
 }
 
 // delay estimates when a new request starts, from now. Waiting requests that have missed their objective give way to
--- a/experiments/load/demo/layout.go
+++ b/experiments/load/demo/layout.go
@@ -61,10 +61,17 @@
 	toClients          time.Duration
 }
 
-// latencies are those of section 1.3 of the design.
+// One-way latencies of the deployments, from section 1.3 of the design.
+const (
+	estanhoBetween     = time.Millisecond
+	estanhoToClients   = time.Millisecond
+	mantaleveBetween   = 1500 * time.Microsecond
+	mantaleveToClients = 3 * time.Millisecond
+)
+
 var latencies = map[string]latency{
-	"estanho":   {betweenDataCentres: time.Millisecond, toClients: time.Millisecond},
-	"mantaleve": {betweenDataCentres: 1500 * time.Microsecond, toClients: 3 * time.Millisecond},
+	"estanho":   {betweenDataCentres: estanhoBetween, toClients: estanhoToClients},
+	"mantaleve": {betweenDataCentres: mantaleveBetween, toClients: mantaleveToClients},
 }
 
 // between returns the delay of a link to the VM by the source's IP: none within a data centre.
--- a/experiments/soak/faults.go
+++ b/experiments/soak/faults.go
@@ -57,7 +57,7 @@
 			s.vms[i].signal(syscall.SIGHUP)
 		}
 	}},
-	{"harm links", harmLinks},
+	{"degrade links", degradeLinks},
 	{"reset connections", func(s *soak, r *source) {
 		for _, i := range r.some(len(s.vms), len(s.vms)) {
 			s.vms[i].peers.reset()
@@ -94,24 +94,24 @@
 	}},
 }
 
-// harmLinks delays the paths to some nodes or silences them, one way or both.
-func harmLinks(s *soak, r *source) {
+// degradeLinks delays the paths to some nodes or silences them, one way or both.
+func degradeLinks(s *soak, r *source) {
 	mode, delay := link.Open, r.duration(0, longestDelay)
-	if n := r.number(len(harms) + 1); n < len(harms) {
-		mode, delay = harms[n], 0
+	if n := r.number(len(failures) + 1); n < len(failures) {
+		mode, delay = failures[n], 0
 	}
 	chosen := r.some(len(s.vms), len(s.vms)/2)
-	harmed := make([]*path, 0, 2*len(chosen))
+	degraded := make([]*path, 0, 2*len(chosen))
 	for _, i := range chosen {
 		v := s.vms[i]
-		harmed = append(harmed, [][]*path{{v.peers}, {v.upstreams}, {v.store}, {v.peers, v.store}}[r.number(4)]...)
+		degraded = append(degraded, [][]*path{{v.peers}, {v.upstreams}, {v.store}, {v.peers, v.store}}[r.number(4)]...)
 	}
-	for _, p := range harmed {
-		p.harm(mode, delay)
+	for _, p := range degraded {
+		p.degrade(mode, delay)
 	}
 	time.Sleep(r.duration(shortestFault, longestFault))
-	for _, p := range harmed {
-		p.harm(link.Open, 0)
+	for _, p := range degraded {
+		p.degrade(link.Open, 0)
 	}
 }
 
--- a/experiments/soak/ledger.go
+++ b/experiments/soak/ledger.go
@@ -14,7 +14,7 @@
 	quotaSlack  = 20
 	coldOver    = 1.5
 	coldSlack   = 5
-	// shownViolations bounds the violations that are kept of each promise.
+	// shownViolations bounds the violations that are kept of each guarantee.
 	shownViolations = 5
 )
 
@@ -38,7 +38,7 @@
 type entry struct {
 	order
 	runs []run
-	// refused is the status that promised that the request has not run and never will.
+	// refused is the status that claimed that the request has not run and never will.
 	refused int
 }
 
@@ -59,18 +59,18 @@
 	}
 }
 
-// violated notes a broken promise.
-func (l *ledger) violated(promise, format string, args ...any) {
+// violated notes a broken guarantee.
+func (l *ledger) violated(guarantee, format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.note(promise, format, args...)
+	l.note(guarantee, format, args...)
 }
 
-func (l *ledger) note(promise, format string, args ...any) {
-	if len(l.violations[promise]) < shownViolations {
-		l.violations[promise] = append(l.violations[promise], fmt.Sprintf(format, args...))
+func (l *ledger) note(guarantee, format string, args ...any) {
+	if len(l.violations[guarantee]) < shownViolations {
+		l.violations[guarantee] = append(l.violations[guarantee], fmt.Sprintf(format, args...))
 	}
-	l.counts["broken "+promise]++
+	l.counts["broken "+guarantee]++
 }
 
 func (l *ledger) count(name string) {
@@ -155,7 +155,7 @@
 		l.note("mixed", "%s got %d without a stamp", id, status)
 	case stamp != "":
 		l.matches(e, status, stamp, body, success)
-	case promisesNotRun(status):
+	case claimsNotRun(status):
 		e.refused = status
 		if !e.idempotent && len(e.runs) > 0 {
 			l.note("refused", "%s got %d and had run at %s", id, status, e.runs[0].upstream)
@@ -180,7 +180,7 @@
 	l.note("mixed", "%s got the stamp %s of another request", e.id, stamp)
 }
 
-func promisesNotRun(status int) bool {
+func claimsNotRun(status int) bool {
 	return status == 429 || status == 503 || status == 408 || status == 421
 }
 
--- a/experiments/soak/path.go
+++ b/experiments/soak/path.go
@@ -9,14 +9,14 @@
 	"github.com/bamboodeal/bamboodeal/standin/link"
 )
 
-// longestDelay bounds the latency that a harmed path adds in each direction.
+// longestDelay bounds the latency that a degraded path adds in each direction.
 const longestDelay = 60 * time.Millisecond
 
-// harms are the ways in which a path fails without breaking its connections. Connections of a frozen path stay silent for
-// good; new ones work when the harm is over.
-var harms = []link.Mode{link.Frozen, link.FrozenForward, link.FrozenBackward}
+// failures are the ways in which a path fails without breaking its connections. Connections of a frozen path stay silent for
+// good; new ones work when the failure is over.
+var failures = []link.Mode{link.Frozen, link.FrozenForward, link.FrozenBackward}
 
-// path is the way to an address of a VM. It can be harmed, and it refuses connections while nothing listens behind it.
+// path is the way to an address of a VM. It can be degraded, and it refuses connections while nothing listens behind it.
 type path struct {
 	options link.Options
 	log     *logrus.Logger
@@ -62,8 +62,8 @@
 
 func (p *path) reset() { p.with((*link.Link).Reset) }
 
-// harm delays what passes or silences the path.
-func (p *path) harm(m link.Mode, delay time.Duration) {
+// degrade delays what passes or silences the path.
+func (p *path) degrade(m link.Mode, delay time.Duration) {
 	p.with(func(l *link.Link) {
 		l.SetMode(m)
 		l.SetDelay(delay)
--- a/experiments/soak/soak.go
+++ b/experiments/soak/soak.go
@@ -1,5 +1,5 @@
 // Package soak plays random faults against the real programs on loopback and checks, from what callers and stand-in
-// upstreams see, that the promises of the system hold all the while.
+// upstreams see, that the guarantees of the system hold all the while.
 package soak
 
 import (
@@ -87,7 +87,7 @@
 	played    []string
 }
 
-// Run plays one soak. The error is a fault of the harness; broken promises are in the result.
+// Run plays one soak. The error is a fault of the harness; broken guarantees are in the result.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	started := time.Now()
 	s := &soak{o: o, store: platformtest.NewStore(), ledger: newLedger(), replacing: map[*vm]bool{}}
--- a/experiments/soak/soak_test.go
+++ b/experiments/soak/soak_test.go
@@ -53,8 +53,8 @@
 	return list
 }
 
-// The promises hold in a short run of real processes and on each seed that ever failed.
-func TestPromisesHoldUnderFaults(t *testing.T) {
+// The guarantees hold in a short run of real processes and on each seed that ever failed.
+func TestGuaranteesHoldUnderFaults(t *testing.T) {
 	path := program(t)
 	for _, seed := range seeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -72,13 +72,13 @@
 	}
 }
 
-// The ledger has to see each kind of broken promise.
-func TestTheLedgerSeesBrokenPromises(t *testing.T) {
+// The ledger has to see each kind of broken guarantee.
+func TestTheLedgerSeesBrokenGuarantees(t *testing.T) {
 	o := order{id: "a", method: "POST", path: "/write/a", team: "red", callerWorker: "alpha", services: []string{"beta"}}
 	once := func(l *ledger) {
 		l.ran(o, "beta", false, false, run{upstream: "u", stamp: "s", status: 200, at: time.Now()})
 	}
-	for promise, breaks := range map[string]func(l *ledger){
+	for guarantee, breaks := range map[string]func(l *ledger){
 		"twice":   func(l *ledger) { once(l); once(l) },
 		"refused": func(l *ledger) { once(l); l.answered("a", 503, "a", "", "") },
 		"route":   func(l *ledger) { l.ran(o, "alpha", false, false, run{}) },
@@ -95,13 +95,13 @@
 			}
 		},
 	} {
-		t.Run(promise, func(t *testing.T) {
+		t.Run(guarantee, func(t *testing.T) {
 			g := NewWithT(t)
 			l := newLedger()
 			l.sent(o)
 			breaks(l)
 			l.close(map[string][2]float64{"red": {12, 12}}, coldRate)
-			g.Expect(l.violations).To(HaveKey(promise))
+			g.Expect(l.violations).To(HaveKey(guarantee))
 			g.Expect(l.violations).To(HaveLen(1))
 		})
 	}
--- a/experiments/soak/vm.go
+++ b/experiments/soak/vm.go
@@ -118,6 +118,8 @@
 	v.command = exec.Command(v.soak.o.Program)
 	v.command.Env = append(os.Environ(), platform.SettingsVariable+"="+v.path)
 	v.command.Stdout, v.command.Stderr = v.log, v.log
+	// An interrupt at the terminal reaches the driver only, which then stops its nodes.
+	v.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	v.signalled = false
 	if err := v.command.Start(); err != nil {
 		return eris.Wrap(err, "cannot start the node; build the program first")
--- a/pkg/forward/controller.go
+++ b/pkg/forward/controller.go
@@ -106,8 +106,8 @@
 		return answer{outcome: notRun, reason: reason}
 	}
 	limit := deadline
-	if patience := c.queue.patience(h.route); h.impatient && patience > 0 && patience < h.remaining/2 {
-		limit = min(limit, c.o.Clock.Now()+patience)
+	if tryTimeout := c.queue.tryTimeout(h.route); h.retriable && tryTimeout > 0 && tryTimeout < h.remaining/2 {
+		limit = min(limit, c.o.Clock.Now()+tryTimeout)
 	}
 	a, sample = c.forward(h, deadline, limit, req, resp, caller)
 	return a
--- a/pkg/forward/entry.go
+++ b/pkg/forward/entry.go
@@ -170,7 +170,7 @@
 	return destinations[len(destinations)-1].Service
 }
 
-// clean leaves what the upstream may see and sets what the node vouches for.
+// clean leaves what the upstream may see and sets what the node itself guarantees.
 func (c *call) clean(req *fasthttp.Request) {
 	names := &c.n.o.Headers
 	peer.StripConnection(req)
@@ -272,7 +272,7 @@
 	h := hop{
 		upstream: u.ID, route: c.route.Name, remaining: c.deadline - now - answerMargin, objective: c.objective - now,
 		priority: c.priority, idempotent: c.route.Idempotent, strict: strict,
-		impatient: c.reserve(u, now),
+		retriable: c.reserve(u, now),
 	}
 	c.n.sent(u.ID)
 	c.last = c.n.send(u, &h, now, req, resp, c)
@@ -291,7 +291,7 @@
 }
 
 // reserve takes a further attempt in advance and reports whether the upstream need not be waited for to the end. An
-// attempt that is broken off for impatience must be followed by another one: the upstream may still be at work on it.
+// attempt that is broken off before its deadline must be followed by another one: the upstream may still be at work on it.
 func (c *call) reserve(u *mesh.Upstream, now time.Duration) bool {
 	if c.reserved {
 		return true
--- a/pkg/forward/hop.go
+++ b/pkg/forward/hop.go
@@ -37,8 +37,8 @@
 	idempotent bool
 	// strict asks for a refusal rather than an answer after the objective.
 	strict bool
-	// impatient requests can be sent elsewhere, and are not waited for much longer than usual.
-	impatient bool
+	// retriable requests can be sent elsewhere, and are not waited for much longer than usual.
+	retriable bool
 }
 
 func (h *hop) write(req *fasthttp.Request) {
@@ -48,7 +48,7 @@
 	for _, n := range [...]int64{h.remaining.Milliseconds(), h.objective.Milliseconds(), int64(h.priority)} {
 		b = strconv.AppendInt(append(b, separator...), n, 10)
 	}
-	for _, flag := range [...]bool{h.idempotent, h.strict, h.impatient} {
+	for _, flag := range [...]bool{h.idempotent, h.strict, h.retriable} {
 		b = append(append(b, separator...), digit(flag))
 	}
 	req.Header.SetBytesV(hopHeader, b)
@@ -77,7 +77,7 @@
 		priority:   numbers[2],
 		idempotent: parts[5] == "1",
 		strict:     parts[6] == "1",
-		impatient:  parts[7] == "1",
+		retriable:  parts[7] == "1",
 	}, nil
 }
 
--- a/pkg/forward/lease.go
+++ b/pkg/forward/lease.go
@@ -36,8 +36,8 @@
 type leaseRequest struct {
 	Team string `json:"t"`
 	Want int    `json:"w"`
-	// InTouch says that the sender is in contact with the platform's store.
-	InTouch bool `json:"i,omitempty"`
+	// Connected says that the sender is in contact with the platform's store.
+	Connected bool `json:"i,omitempty"`
 	// Refused are the VMs before the receiver in the order of holders that refused the sender's connection.
 	Refused []string `json:"f,omitempty"`
 	// Silent is the holder that does not answer the sender; the receiver stands in for it. Limited says that the holder
@@ -140,7 +140,7 @@
 		l.mu.Unlock()
 		return true
 	}
-	if b.EmptyFor(now) > tokenWait || b.Hopeless(now, len(b.waiting), tokenWait) {
+	if b.EmptyFor(now) > tokenWait || b.Exhausted(now, len(b.waiting), tokenWait) {
 		l.mu.Unlock()
 		return false
 	}
@@ -190,7 +190,7 @@
 			continue
 		}
 		got, err := l.ask(now, limit, leaseRequest{
-			Team: team, Want: want, InTouch: l.contact.InTouch(l.o.StoreAge()), Limited: limited,
+			Team: team, Want: want, Connected: l.contact.Connected(l.o.StoreAge()), Limited: limited,
 		})
 		retry := time.Duration(got.RetryMS) * time.Millisecond
 		l.mu.Lock()
@@ -215,9 +215,9 @@
 
 // serveSeparately decides on all waiting requests by the node's own share.
 func (l *leases) serveSeparately(limit allowance.Limit, b *borrowed) {
-	now, nodes, stranded := l.o.Clock.Now(), len(l.o.View().VMs), !l.contact.InTouch(l.o.StoreAge())
+	now, nodes, isolated := l.o.Clock.Now(), len(l.o.View().VMs), !l.contact.Connected(l.o.StoreAge())
 	for _, w := range b.waiting {
-		w <- b.TakeSeparately(now, limit, nodes, stranded)
+		w <- b.TakeSeparately(now, limit, nodes, isolated)
 	}
 	b.waiting = nil
 }
@@ -309,7 +309,7 @@
 // probe asks a holder for no tokens. One that answers, or that runs no node, is silent no more.
 func (l *leases) probe(holder string, s *silence) {
 	var got leaseAnswer
-	q := leaseRequest{InTouch: l.contact.InTouch(l.o.StoreAge())}
+	q := leaseRequest{Connected: l.contact.Connected(l.o.StoreAge())}
 	err := exchange(l.pool, holder+l.port, leasePath, q, &got, leaseTimeout)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -376,12 +376,12 @@
 		return
 	}
 	l.holding.Lock()
-	l.standing.Asked(l.o.Clock.Now(), ctx.RemoteIP().String(), q.InTouch)
+	l.standing.Asked(l.o.Clock.Now(), ctx.RemoteIP().String(), q.Connected)
 	l.holding.Unlock()
 	var got leaseAnswer
 	if team := view.Config.Team(q.Team); team != nil {
 		got.Holder = l.contact.Referral(
-			allowance.Asked{Team: team.Name, InTouch: q.InTouch, Refused: append(q.Refused, q.Silent)},
+			allowance.Asked{Team: team.Name, Connected: q.Connected, Refused: append(q.Refused, q.Silent)},
 			l.own, view.VMs, l.o.StoreAge(),
 		)
 		if got.Holder == "" {
--- a/pkg/forward/node_test.go
+++ b/pkg/forward/node_test.go
@@ -245,7 +245,7 @@
 	g.Expect(m.logs.String()).To(ContainSubstring("a request failed inside the node"))
 }
 
-// A request that is broken off for impatience must be followed by another attempt: an answer of the node in its place
+// A request that is broken off before its deadline must be followed by another attempt: an answer of the node in its place
 // gives up work that the upstream was about to finish.
 func TestWithoutBudgetASlowAnswerIsAwaited(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -79,11 +79,11 @@
 	return slots.TooLate
 }
 
-// patience returns how long the answer to an impatient request is waited for, or 0 when that is not known.
-func (q *queue) patience(route string) time.Duration {
+// tryTimeout returns how long the answer to a retriable request is waited for, or 0 when that is not known.
+func (q *queue) tryTimeout(route string) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.slots.Patience(route)
+	return q.slots.TryTimeout(route)
 }
 
 // leave returns the slot of a started request; a latency of 0 is no sample.
--- a/pkg/forward/recorder.go
+++ b/pkg/forward/recorder.go
@@ -24,8 +24,8 @@
 	kinds
 )
 
-// linesPerSecond is the budget of each kind: in the heaviest minutes of the users' days a node ends about a hundred
-// requests a second without success.
+// linesPerSecond is the budget of each kind. With it, scripts/explain-check.sh finds each failed request that the users'
+// bench names on trouble-1 and scale-1 of both deployments.
 var linesPerSecond = [kinds]int{plainEnd: 20, otherEnd: 150, refusal: 50}
 
 const (
