Hedge slow attempts instead of giving them up for a retry

Callers got 502 for idempotent requests at which an upstream was at work and would have answered in time.

Cause: the node beside the upstream cancelled an attempt after five times the mean service time of its route, as soon as the entry node had taken a retry from the budget. The budget says that a retry is allowed, not that another upstream accepts it. Under load the others refuse it, and the entry node had given up the only answer that was under way.

TestRefusedRetryKeepsSlowAttempt failed in each of its four cases on ("Expected <int>: 502 to equal <int>: 200").

Change: the first attempt goes on. When it is late, the entry node sends the request to a second upstream as well, from another goroutine, and cancels the first attempt only when the second one has an answer. The node beside the upstream, which knows when the upstream began to work, announces lateness with an interim response (102); it no longer cancels anything. No attempt has to be reserved in advance any more.

Ruled out: not hedging on stopping nodes (the entry node may get its SIGTERM after the attempt was sent, and callers of other nodes get the same 502); reserving a slot elsewhere first (the answer may still be lost there).

Mixed versions: an old entry node skips the interim response; an old upstream node cancels as before. Metrics: hedges_total. Log fields: hedges, hedge_won, stopping; the fields tell a refused hedge from a lost answer.

--- a/decision/slots/queue.go
+++ b/decision/slots/queue.go
@@ -37,13 +37,13 @@
 	saturationTimeConstant = time.Second
 	// overloadThreshold is the saturation above which requests that accept a late answer are refused.
 	overloadThreshold = 0.8
-	// attemptTimeoutFactor is the multiple of the mean service time after which an attempt that can be repeated at
-	// another upstream times out, minAttemptTimeout the shortest such timeout. The service times of 99 of 100 requests
-	// vary by no more than a factor of four.
-	attemptTimeoutFactor = 5
-	minAttemptTimeout    = 100 * time.Millisecond
-	// attemptTimeoutSamples is the number of samples from which on the mean service time of a route sets the timeout.
-	attemptTimeoutSamples = 8
+	// hedgeDelayFactor is the multiple of the mean service time after which a request is sent to a second upstream as
+	// well, minHedgeDelay the shortest such delay. The service times of 99 of 100 requests vary by no more than a factor
+	// of four.
+	hedgeDelayFactor = 5
+	minHedgeDelay    = 100 * time.Millisecond
+	// hedgeDelaySamples is the number of samples from which on the mean service time of a route sets the delay.
+	hedgeDelaySamples = 8
 	// usableTimeShare is the share of the time until the deadline within which a request has to be expected to end. The
 	// rest allows for the variation of service times.
 	usableTimeShare = 0.8
@@ -169,14 +169,14 @@
 	return max(0, min(q.meanServiceTime, (r.Objective-now)/2))
 }
 
-// AttemptTimeout returns how long to wait for the answer to a request that can be repeated at another upstream: a few
-// times the mean service time of the route. Without this timeout, an answer that never arrives would hold the slot of
-// the calling request until the deadline. It returns 0 while too few service times of the route are known.
-func (q *Queue) AttemptTimeout(route string) time.Duration {
-	if q.routeSamples[route] < attemptTimeoutSamples {
+// HedgeDelay returns how long to wait for the answer to a request before it is sent to another upstream as well: a few
+// times the mean service time of the route. Without this, an answer that never arrives would hold the slot of the calling
+// request until the deadline. It returns 0 while too few service times of the route are known.
+func (q *Queue) HedgeDelay(route string) time.Duration {
+	if q.routeSamples[route] < hedgeDelaySamples {
 		return 0
 	}
-	return max(minAttemptTimeout, attemptTimeoutFactor*q.routeServiceTimes[route])
+	return max(minHedgeDelay, hedgeDelayFactor*q.routeServiceTimes[route])
 }
 
 // expectedDelay estimates the time until a new request starts. For a request that must meet its objective, waiting
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -24,6 +24,9 @@
 // maxInterimResponses bounds the 1xx responses before the final one.
 const maxInterimResponses = 8
 
+// interimStatusLine is how the status line of an interim response starts.
+var interimStatusLine = []byte("HTTP/1.1 1")
+
 // maxSkippedResponses bounds the responses to other requests that are skipped before the expected one.
 const maxSkippedResponses = 3
 
@@ -95,8 +98,8 @@
 }
 
 // exchange sends req and reads the complete response into resp before the deadline. After an error the response must
-// not be used and the connection must be closed. If caller is not nil, the wait ends when the caller disconnects.
-func (c *Conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, caller Caller, maxBodyBytes int) error {
+// not be used and the connection must be closed. watch may be nil.
+func (c *Conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, watch *Watch, maxBodyBytes int) error {
 	c.written = 0
 	if err := c.netConn.SetDeadline(deadline); err != nil {
 		return err
@@ -107,8 +110,8 @@
 	if err := c.writer.Flush(); err != nil {
 		return err
 	}
-	if caller != nil {
-		if err := c.awaitFirstByte(deadline, caller); err != nil {
+	if watch != nil {
+		if err := c.awaitResponse(resp, deadline, watch); err != nil {
 			return err
 		}
 	}
@@ -156,30 +159,62 @@
 	}
 }
 
-// awaitFirstByte waits for the first byte of the response. It wakes up every CallerCheckInterval, so that it notices
+// awaitResponse waits for the first byte of the final response. If interim responses are signals to the watch, it reads
+// them on the way.
+func (c *Conn) awaitResponse(resp *fasthttp.Response, deadline time.Time, watch *Watch) error {
+	for n := 0; ; n++ {
+		if err := c.awaitFirstByte(deadline, watch); err != nil || !watch.SlowOnInterim {
+			return err
+		}
+		statusLine, err := c.reader.Peek(len(interimStatusLine))
+		if err != nil || !bytes.Equal(statusLine, interimStatusLine) {
+			return err
+		}
+		if err := resp.Header.Read(c.reader); err != nil {
+			return err
+		}
+		if n >= maxInterimResponses {
+			return ErrInterimResponse
+		}
+		watch.reportSlow()
+	}
+}
+
+// awaitFirstByte waits for the first byte of a response. It wakes up every CallerCheckInterval, so that it notices
 // without another goroutine that the caller disconnected or the node stopped running.
-func (c *Conn) awaitFirstByte(deadline time.Time, caller Caller) error {
+func (c *Conn) awaitFirstByte(deadline time.Time, watch *Watch) error {
+	defer watch.disarmRead()
 	checkDelay := firstNodeCheckDelay
 	nextCheck := time.Now().Add(checkDelay)
 	for {
 		readDeadline := time.Now().Add(c.pool.options.CallerCheckInterval)
+		if !watch.SlowAt.IsZero() && watch.SlowAt.Before(readDeadline) {
+			readDeadline = watch.SlowAt
+		}
 		last := !readDeadline.Before(deadline)
 		if last {
 			readDeadline = deadline
 		}
-		if err := c.netConn.SetReadDeadline(readDeadline); err != nil {
+		if err := watch.armRead(c.netConn, readDeadline); err != nil {
 			return err
 		}
 		_, err := c.reader.Peek(1)
 		if err == nil {
+			watch.disarmRead()
 			return c.netConn.SetReadDeadline(deadline)
 		}
-		if last || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		if !caller.Connected() {
+		if !watch.Connected() {
 			return ErrCallerGone
 		}
+		if last {
+			return err
+		}
+		if !watch.SlowAt.IsZero() && !time.Now().Before(watch.SlowAt) {
+			watch.reportSlow()
+		}
 		if time.Now().After(nextCheck) {
 			if !c.pool.isResponding(c, checkDelay, deadline) && !c.hasResponseBytes() {
 				return ErrNodeUnresponsive
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -191,13 +191,21 @@
 // and the error says what happened. If the exchange failed, the connection is closed. If caller is not nil, the call is
 // cancelled when the caller disconnects.
 func (c *Conn) Send(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, caller Caller) (SendResult, error) {
+	if caller == nil {
+		return c.SendWatched(req, resp, deadline, nil)
+	}
+	return c.SendWatched(req, resp, deadline, &Watch{Caller: caller})
+}
+
+// SendWatched does what Send does, with a Watch in place of the caller; it may be nil.
+func (c *Conn) SendWatched(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, watch *Watch) (SendResult, error) {
 	p := c.pool
 	start := p.options.Clock.Now()
 	if !time.Now().Before(deadline) {
 		p.putIdle(c)
 		return NotSent, ErrDeadlinePassed
 	}
-	err := c.exchange(req, resp, deadline, caller, MaxResponseBytes)
+	err := c.exchange(req, resp, deadline, watch, MaxResponseBytes)
 	if err == nil {
 		if resp.ConnectionClose() || c.unusable {
 			p.closeConn(c)
--- a/pkg/sidecar/controller.go
+++ b/pkg/sidecar/controller.go
@@ -93,8 +93,8 @@
 }
 
 // serve runs a request at the upstream, or refuses it. arrived is when this node received the request, on the process's
-// clock.
-func (c *controller) serve(metadata *requestMetadata, arrived time.Duration, req *fasthttp.Request, resp *fasthttp.Response, caller peer.Caller) (a attemptResult) {
+// clock. The watch learns when the upstream takes much longer than usual for a request that may be retried elsewhere.
+func (c *controller) serve(metadata *requestMetadata, arrived time.Duration, req *fasthttp.Request, resp *fasthttp.Response, watch *peer.Watch) (a attemptResult) {
 	c.requestsInProgress.Add(1)
 	defer c.requestsInProgress.Add(-1)
 	defer func() { a.load = c.queue.load() }()
@@ -105,7 +105,7 @@
 	reason, after := c.queue.acquireSlot(slots.Request{
 		Route: metadata.route, Priority: metadata.priority, Deadline: deadline, Objective: arrived + metadata.objective,
 		MustMeetObjective: metadata.mustMeetObjective, Nested: metadata.priority == nestedCallPriority,
-	}, caller)
+	}, watch)
 	if reason != "" {
 		return attemptResult{outcome: outcomeNotRun, reason: reasonOfQueueRefusal(reason), retryAfter: after}
 	}
@@ -115,11 +115,10 @@
 	if reason := c.refusalReason(metadata.upstream); reason != ReasonNone {
 		return attemptResult{outcome: outcomeNotRun, reason: reason}
 	}
-	limit := deadline
-	if attemptTimeout := c.queue.attemptTimeout(metadata.route); metadata.retriable && attemptTimeout > 0 && attemptTimeout < metadata.remaining/2 {
-		limit = min(limit, c.o.Clock.Now()+attemptTimeout)
+	if hedgeDelay := c.queue.hedgeDelay(metadata.route); metadata.hedgeable && hedgeDelay > 0 && hedgeDelay < metadata.remaining/2 {
+		watch.SlowAt = time.Now().Add(hedgeDelay)
 	}
-	a, sample = c.sendToUpstream(metadata, deadline, limit, req, resp, caller)
+	a, sample = c.sendToUpstream(metadata, deadline, req, resp, watch)
 	return a
 }
 
@@ -131,15 +130,15 @@
 	return ReasonOverloaded
 }
 
-// sendToUpstream sends the request once and waits for the response until limit, which is at most the deadline. Besides
-// the result it returns the service time, or 0 if that must not count as a sample.
-func (c *controller) sendToUpstream(metadata *requestMetadata, deadline, limit time.Duration, req *fasthttp.Request, resp *fasthttp.Response, caller peer.Caller) (attemptResult, time.Duration) {
+// sendToUpstream sends the request once and waits for the response until the deadline. Besides the result it returns
+// the service time, or 0 if that must not count as a sample.
+func (c *controller) sendToUpstream(metadata *requestMetadata, deadline time.Duration, req *fasthttp.Request, resp *fasthttp.Response, watch *peer.Watch) (attemptResult, time.Duration) {
 	start := c.o.Clock.Now()
 	left := deadline - start
 	if left < minRemainingTime {
 		return attemptResult{outcome: outcomeNotRun, reason: ReasonDeadlineExceeded}, 0
 	}
-	until := time.Now().Add(limit - start)
+	until := time.Now().Add(left)
 	conn, err := c.pool.Acquire(peer.Target{Address: c.o.Settings.UpstreamAddress}, until, false)
 	if err != nil {
 		if !errors.Is(err, peer.ErrTooManyConnections) && !errors.Is(err, peer.ErrDeadlinePassed) {
@@ -147,24 +146,25 @@
 		}
 		return attemptResult{outcome: outcomeNotRun, reason: ReasonUnreachable}, 0
 	}
-	if caller != nil && !caller.Connected() {
+	if !watch.Connected() {
 		conn.Release()
 		return attemptResult{outcome: outcomeNotRun, reason: ReasonCallerGone}, 0
 	}
 	c.setHeaders(metadata, req, left-responseMargin)
-	watch := caller
+	slowAt := watch.SlowAt
 	if !metadata.idempotent {
 		// A request that may run only once is not cancelled when the caller disconnects, because its outcome would then
 		// be unknown.
 		watch = nil
 	}
-	sent, err := conn.Send(req, resp, until, watch)
+	sent, err := conn.SendWatched(req, resp, until, watch)
 	if sent != peer.ResponseReceived {
-		if a := c.sendFailure(sent, err); a.reason != ReasonTimedOut || limit == deadline {
-			return a, 0
+		a, sample := c.sendFailure(sent, err), time.Duration(0)
+		if gaveUp := a.reason == ReasonTimedOut || a.reason == ReasonCallerGone; gaveUp && !slowAt.IsZero() && time.Now().After(slowAt) {
+			// The upstream may be slow instead of having lost the response, so the time until it was slow counts.
+			sample = left - until.Sub(slowAt)
 		}
-		// The upstream may be slow instead of having lost the response, so the time counts as a sample.
-		return attemptResult{outcome: outcomeUnknown, reason: ReasonAnswerLost, reachedUpstream: true}, c.o.Clock.Now() - start
+		return a, sample
 	}
 	if len(resp.Header.Peek(c.o.Headers.NotExecuted)) > 0 || resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
 		if resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -57,8 +57,13 @@
 	heldFailure *fasthttp.Response
 	// mayHaveRun is true once an attempt has ended with an unknown outcome.
 	mayHaveRun bool
-	// attemptReserved is true while an extra attempt that was not made yet has been taken from the retry budget.
-	attemptReserved bool
+	// hedge is the hedge of the attempt in progress, or nil; hedges counts those that were started.
+	hedge  *hedge
+	hedges int
+	// hedgeWon is true if the response is that of a hedge.
+	hedgeWon bool
+	// stopping is true if the node was stopping when the call ended.
+	stopping bool
 }
 
 // result is how a call ended: with the response of an upstream if the reason is ReasonNone, or else with an error.
@@ -88,7 +93,8 @@
 			ctx.Response.Header.Set(n.o.Headers.RequestID, c.id)
 		}
 	}
-	if r.reason == ReasonMalformedRequest || n.stopping.Load() {
+	c.stopping = n.stopping.Load()
+	if r.reason == ReasonMalformedRequest || c.stopping {
 		ctx.Response.SetConnectionClose()
 	}
 	n.recorder.recordEnd(c, r, ctx.Response.StatusCode())
@@ -282,47 +288,32 @@
 	c.lastUpstream = u.ID
 	metadata := requestMetadata{
 		upstream: u.ID, route: c.route.Name, remaining: c.deadline - now - responseMargin, objective: c.objective - now,
-		priority: c.priority, idempotent: c.route.Idempotent, mustMeetObjective: mustMeetObjective,
-		retriable: c.reserveAttempt(u, now),
+		priority: c.priority, idempotent: c.route.Idempotent, mustMeetObjective: mustMeetObjective, hedgeable: c.canHedge(u.ID),
+	}
+	watch := &peer.Watch{Caller: c.caller}
+	if metadata.hedgeable {
+		watch.OnSlow = func() time.Duration { return c.hedgeSlowAttempt(u.ID, watch, req) }
 	}
 	c.node.recordSent(u.ID)
-	c.lastResult = c.node.sendAttempt(u, &metadata, now, req, resp, c)
+	c.lastResult = c.node.sendAttempt(u, &metadata, now, req, resp, watch, c.view, c.deadline)
+	if c.lastResult.reason == ReasonCallerGone && c.hedge != nil && c.caller.Connected() {
+		// The hedge has cancelled this attempt.
+		c.lastResult.reason = ReasonAnswerLost
+	}
 	c.node.recordResult(u.ID, c.priority, c.lastResult)
 	c.mayHaveRun = c.mayHaveRun || c.lastResult.outcome == outcomeUnknown
 	if c.lastResult.reachedUpstream {
 		c.attemptsReceived++
 		c.reachedUpstreams[u.ID] = true
 	}
-	done, r = c.handleResult(resp)
-	if done && c.attemptReserved {
-		c.attemptReserved = false
-		c.node.retryBudgets.refundAttempt(c.service)
+	if c.hedge != nil {
+		c.settleHedge(resp)
 	}
-	return done, r
+	return c.handleResult(resp)
 }
 
-// reserveAttempt takes an extra attempt from the retry budget in advance and reports whether there is one. Only then
-// may the node stop waiting for the upstream u before the deadline: the upstream may still be working, so giving up its
-// response is useful only if another attempt is certain to follow.
-func (c *call) reserveAttempt(u *mesh.Upstream, now time.Duration) bool {
-	if c.attemptReserved {
-		return true
-	}
-	if !c.route.Idempotent || c.node.stopping.Load() || c.attemptsReceived+1 >= c.route.MaxAttempts || c.nodesAsked >= maxNodesAsked ||
-		!c.node.hasOtherUpstream(c, u.ID) {
-		return false
-	}
-	c.attemptReserved = c.node.retryBudgets.takeAttempt(c.service, now)
-	return c.attemptReserved
-}
-
-// takeExtraAttempt reports whether the request may be sent to another upstream, and takes that attempt from the budget
-// unless it was reserved.
+// takeExtraAttempt reports whether the request may be sent to another upstream, and takes that attempt from the budget.
 func (c *call) takeExtraAttempt(now time.Duration) bool {
-	if c.attemptReserved {
-		c.attemptReserved = false
-		return true
-	}
 	return c.attemptsReceived < c.route.MaxAttempts && c.node.retryBudgets.takeAttempt(c.service, now)
 }
 
@@ -356,7 +347,7 @@
 	case outcomeNotRun:
 		return c.lastResult.reason == ReasonCallerGone, result{reason: ReasonCallerGone}
 	}
-	if c.route.Idempotent && c.lastResult.reason == ReasonAnswerLost && (c.attemptReserved || c.canTryAnother()) {
+	if c.route.Idempotent && c.lastResult.reason == ReasonAnswerLost && c.canTryAnother() {
 		return false, result{}
 	}
 	return true, result{reason: c.lastResult.reason}
@@ -367,7 +358,7 @@
 // The attempt is taken from the budget only when it is made.
 func (c *call) canTryAnother() bool {
 	now := c.node.o.Clock.Now()
-	return c.attemptsReceived < c.route.MaxAttempts && (c.attemptReserved || c.node.retryBudgets.hasAttempt(c.service)) && c.nodesAsked < maxNodesAsked &&
+	return c.attemptsReceived < c.route.MaxAttempts && c.node.retryBudgets.hasAttempt(c.service) && c.nodesAsked < maxNodesAsked &&
 		c.node.hasOtherUpstream(c, "") && now-c.arrived < (c.deadline-c.arrived)/2
 }
 
--- /dev/null
+++ b/pkg/sidecar/hedge_test.go
@@ -0,0 +1,119 @@
+package sidecar
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+)
+
+// slowAttempt is much longer than the hedge delay of a route whose requests take a few milliseconds.
+const slowAttempt = 700 * time.Millisecond
+
+// warmUp makes all nodes learn that requests of the public route take a few milliseconds.
+func (m *testMesh) warmUp() {
+	for i := range 20 * len(m.nodes) {
+		m.send(i%len(m.nodes), nestedRequest(fmt.Sprint("warm", i)))
+	}
+}
+
+func nestedRequest(id string) request {
+	return request{method: "GET", path: "/inner/1", id: id, header: map[string]string{headerNames.APIKey: ""}}
+}
+
+func shed(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set(headerNames.NotExecuted, "1")
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+// Guards against giving up the attempt of an upstream that is at work, for a retry that the other upstreams refuse: the
+// caller got 502 in place of an answer that was under way, also from a node that was stopping.
+func TestRefusedRetryKeepsSlowAttempt(t *testing.T) {
+	for _, stopping := range []bool{false, true} {
+		for entry := range 2 {
+			t.Run(fmt.Sprintf("stopping %v, entry %d", stopping, entry), func(t *testing.T) {
+				g := NewWithT(t)
+				m := newTestMesh(t, 2, nil)
+				m.warmUp()
+				var runs atomic.Int64
+				for _, u := range m.upstreams {
+					u.setHandler(func(ctx *fasthttp.RequestCtx) {
+						if runs.Add(1) > 1 {
+							shed(ctx)
+							return
+						}
+						time.Sleep(slowAttempt)
+						ctx.SetBodyString("slow answer")
+					})
+				}
+				if stopping {
+					time.AfterFunc(slowAttempt/20, m.stops[entry])
+				}
+				resp := m.send(entry, nestedRequest("slow"))
+				g.Expect(runs.Load()).To(Equal(int64(2)), "the retry was not made")
+				g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusOK), m.logs.String())
+				g.Expect(string(resp.Body())).To(Equal("slow answer"))
+				if stopping {
+					g.Eventually(m.done[entry], 6*time.Second).Should(BeClosed())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a hedge that leaves the first upstream at work after the caller has its answer.
+func TestWonHedgeCancelsFirstAttempt(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	m.warmUp()
+	closed := make(chan struct{}, 1)
+	var runs atomic.Int64
+	for _, u := range m.upstreams {
+		u.setHandler(func(ctx *fasthttp.RequestCtx) {
+			if runs.Add(1) > 1 {
+				return
+			}
+			deadline := time.Now().Add(2 * time.Second)
+			_ = ctx.Conn().SetReadDeadline(deadline)
+			if _, err := ctx.Conn().Read(make([]byte, 1)); err != nil && time.Now().Before(deadline) {
+				closed <- struct{}{}
+			}
+		})
+	}
+	resp := m.send(0, nestedRequest("slow"))
+	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusOK))
+	// Upstreams are to stop half a second after nobody waits for them any more.
+	g.Eventually(closed, 500*time.Millisecond).Should(Receive())
+	g.Expect(runs.Load()).To(Equal(int64(2)))
+	g.Expect(m.logs.String()).To(ContainSubstring(`"hedge_won":true`))
+}
+
+// Guards against waiting for a hedge when the first attempt has its answer, and against hedges that go on after that.
+func TestAnswerOfFirstAttemptEndsHedge(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	m.warmUp()
+	closed := make(chan struct{}, 1)
+	var runs atomic.Int64
+	for _, u := range m.upstreams {
+		u.setHandler(func(ctx *fasthttp.RequestCtx) {
+			if runs.Add(1) == 1 {
+				time.Sleep(slowAttempt / 2)
+				ctx.SetBodyString("first answer")
+				return
+			}
+			deadline := time.Now().Add(2 * time.Second)
+			_ = ctx.Conn().SetReadDeadline(deadline)
+			if _, err := ctx.Conn().Read(make([]byte, 1)); err != nil && time.Now().Before(deadline) {
+				closed <- struct{}{}
+			}
+		})
+	}
+	resp := m.send(0, nestedRequest("slow"))
+	g.Expect(string(resp.Body())).To(Equal("first answer"))
+	g.Eventually(closed, 500*time.Millisecond).Should(Receive())
+	g.Eventually(func() int64 { return m.nodes[0].requestsInProgress.Load() }, time.Second).Should(BeZero())
+}
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -38,9 +38,9 @@
 	idempotent bool
 	// mustMeetObjective asks the upstream's node to refuse the request if it would miss the objective.
 	mustMeetObjective bool
-	// retriable is true if the request can be sent to another upstream. Its response is then not awaited for much
-	// longer than usual.
-	retriable bool
+	// hedgeable is true if the request may be sent to another upstream while this one is at work on it. The upstream's
+	// node then announces when the response takes much longer than usual.
+	hedgeable bool
 }
 
 // setHeader writes the metadata into the header of a request to another node.
@@ -51,7 +51,7 @@
 	for _, n := range [...]int64{m.remaining.Milliseconds(), m.objective.Milliseconds(), int64(m.priority)} {
 		b = strconv.AppendInt(append(b, separator...), n, 10)
 	}
-	for _, flag := range [...]bool{m.idempotent, m.mustMeetObjective, m.retriable} {
+	for _, flag := range [...]bool{m.idempotent, m.mustMeetObjective, m.hedgeable} {
 		b = append(append(b, separator...), flagDigit(flag))
 	}
 	req.Header.SetBytesV(hopHeader, b)
@@ -81,7 +81,7 @@
 		priority:          numbers[2],
 		idempotent:        parts[5] == "1",
 		mustMeetObjective: parts[6] == "1",
-		retriable:         parts[7] == "1",
+		hedgeable:         parts[7] == "1",
 	}, nil
 }
 
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -44,6 +44,9 @@
 	stopPollInterval = 50 * time.Millisecond
 )
 
+// slowResponse is the interim response with which a node announces that an upstream is slow.
+var slowResponse = []byte("HTTP/1.1 102 Processing\r\n\r\n")
+
 // Node forwards the requests of the callers on one VM, and runs requests of all nodes at the upstream of the VM.
 type Node struct {
 	o                  Options
@@ -239,7 +242,11 @@
 	if metadata, err := parseRequestMetadata(header); err == nil {
 		ctx.Request.SetRequestURIBytes(ctx.Request.Header.RequestURI())
 		ctx.Request.Header.SetNoDefaultContentType(true)
-		a = n.controller.serve(metadata, n.o.Clock.Now(), &ctx.Request, &ctx.Response, peer.NewCaller(ctx.Conn()))
+		watch := &peer.Watch{Caller: peer.NewCaller(ctx.Conn()), OnSlow: func() time.Duration {
+			n.announceSlow(ctx)
+			return 0
+		}}
+		a = n.controller.serve(metadata, n.o.Clock.Now(), &ctx.Request, &ctx.Response, watch)
 		n.recorder.recordUnanswered(string(ctx.Request.Header.Peek(n.o.Headers.RequestID)), metadata, a)
 	}
 	if a.outcome != outcomeRan {
@@ -249,6 +256,14 @@
 	a.setHeader(&ctx.Response)
 }
 
+// announceSlow tells the node that forwarded a request, with an interim response (RFC 9110, section 15.2), that the
+// upstream takes much longer than usual.
+func (n *Node) announceSlow(ctx *fasthttp.RequestCtx) {
+	if _, err := ctx.Conn().Write(slowResponse); err != nil {
+		n.o.Log.WithError(err).Debug("the other node was not told that the upstream is slow; its connection is broken")
+	}
+}
+
 // orderCandidates returns the candidates in the order in which to ask them. The load of the node's own upstream is up
 // to date.
 func (n *Node) orderCandidates(list []placement.Candidate) []placement.Candidate {
@@ -314,17 +329,22 @@
 }
 
 // sendAttempt makes one attempt at an upstream. The node's own upstream is reached directly, others through their node.
-func (n *Node) sendAttempt(u *mesh.Upstream, metadata *requestMetadata, now time.Duration, req *fasthttp.Request, resp *fasthttp.Response, c *call) attemptResult {
-	if own := c.view.OwnUpstream; own != nil && own.ID == u.ID {
-		return n.controller.serve(metadata, now, req, resp, c.caller)
+// The watch learns when the upstream takes much longer than usual.
+func (n *Node) sendAttempt(
+	u *mesh.Upstream, metadata *requestMetadata, now time.Duration, req *fasthttp.Request, resp *fasthttp.Response, watch *peer.Watch,
+	view *mesh.View, deadline time.Duration,
+) attemptResult {
+	if own := view.OwnUpstream; own != nil && own.ID == u.ID {
+		return n.controller.serve(metadata, now, req, resp, watch)
 	}
 	metadata.setHeader(req)
-	until := time.Now().Add(c.deadline - now)
+	until := time.Now().Add(deadline - now)
 	conn, err := n.peerPool.Acquire(peer.Target{Address: u.IP + n.peerPort}, until, false)
 	if err != nil {
 		return attemptResult{outcome: outcomeNotRun, reason: ReasonUnreachable}
 	}
-	sent, err := conn.Send(req, resp, until, c.caller)
+	watch.SlowOnInterim = true
+	sent, err := conn.SendWatched(req, resp, until, watch)
 	if sent != peer.ResponseReceived {
 		return sendErrorResult(sent, err)
 	}
--- a/pkg/sidecar/queue.go
+++ b/pkg/sidecar/queue.go
@@ -83,12 +83,12 @@
 	return slots.ReasonTooLate
 }
 
-// attemptTimeout returns how long to wait for the response to a retriable request of the route, or 0 if that is not
+// hedgeDelay returns the delay after which a request of the route is sent to another upstream as well, or 0 if that is not
 // known.
-func (q *blockingQueue) attemptTimeout(route string) time.Duration {
+func (q *blockingQueue) hedgeDelay(route string) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.slots.AttemptTimeout(route)
+	return q.slots.HedgeDelay(route)
 }
 
 // releaseSlot releases the slot of a started request. latency is its service time, or 0 if that must not count as a
--- a/pkg/sidecar/recorder.go
+++ b/pkg/sidecar/recorder.go
@@ -85,12 +85,18 @@
 	if c.deadline > 0 {
 		fields["left_us"] = (c.deadline - now).Microseconds()
 	}
+	if c.stopping {
+		fields["stopping"] = true
+	}
 	if c.team != nil {
 		fields["team"] = c.team.Name
 	}
 	if c.view.Config != nil {
 		fields["version"] = c.view.Config.Version
 	}
+	if c.hedges > 0 {
+		fields["hedges"], fields["hedge_won"] = c.hedges, c.hedgeWon
+	}
 	if c.nodesAsked > 0 {
 		fields["last_reason"], fields["running"], fields["waiting"] = c.lastResult.reason, c.lastResult.load.Running, c.lastResult.load.Waiting
 		fields["slots"], fields["cold"], fields["mean_us"] = c.lastResult.load.Slots, c.lastResult.load.Cold, c.lastResult.load.MeanServiceTime.Microseconds()
@@ -98,6 +104,15 @@
 	r.log.WithFields(fields).Info("request ended")
 }
 
+// recordHedge counts a hedge by how it ended.
+func (r *recorder) recordHedge(service string, a *attemptResult) {
+	reason := string(a.reason)
+	if a.reason == ReasonNone {
+		reason = "answered"
+	}
+	metrics.GetOrRegisterCounter(metricName("hedges_total", "service", service, "reason", reason), r.registry).Inc(1)
+}
+
 // recordUnanswered records the result that the controller gave for a forwarded request, unless the upstream responded.
 func (r *recorder) recordUnanswered(id string, metadata *requestMetadata, a attemptResult) {
 	if a.outcome == outcomeRan || !r.takeLine(r.clock.Now(), refusalLine) {
