Skip upstream responses without the request's ID

Answers to health checks have no ID, so a late second answer to a health check became the answer to the next request on its connection. Upstreams repeat the ID of each request, so a response belongs to a request only if both have the same ID or none.

TestLateHealthAnswerIsSkipped failed before: the caller got the health answer, with no stamp ("Expected <string>: '' to equal u0").

Ruled out: a connection of its own for health checks, which costs each upstream one more connection and leaves the same fault among health checks.

--- a/pkg/sidecar/controller.go
+++ b/pkg/sidecar/controller.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"errors"
 	"strconv"
 	"sync/atomic"
@@ -66,12 +67,11 @@
 	return max(1, view.Config.Services[c.o.Settings.Service].MaxConnections-reservedConnections)
 }
 
-// isResponseTo reports whether a response belongs to a request, by their request IDs. A response to an earlier request
-// may come late, when the connection carries another one.
+// isResponseTo reports whether a response belongs to a request, by their request IDs, which upstreams repeat. A response
+// to an earlier request may come late, when the connection carries another one. Health checks and the answers to them
+// have no ID.
 func (c *controller) isResponseTo(req *fasthttp.Request, resp *fasthttp.Response) bool {
-	id := req.Header.Peek(c.o.Headers.RequestID)
-	got := resp.Header.Peek(c.o.Headers.RequestID)
-	return len(id) == 0 || len(got) == 0 || string(id) == string(got)
+	return bytes.Equal(req.Header.Peek(c.o.Headers.RequestID), resp.Header.Peek(c.o.Headers.RequestID))
 }
 
 // refusalReason returns why the upstream with the ID gets no new work, or ReasonNone.
--- a/pkg/sidecar/node_test.go
+++ b/pkg/sidecar/node_test.go
@@ -111,6 +111,21 @@
 	}
 }
 
+// Guards against delivering a late second answer to a health check as the answer to the next request on its connection.
+// Health checks have no request ID, so neither have their answers.
+func TestLateHealthAnswerIsSkipped(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, nil)
+	m.upstreams[0].setHandler(func(ctx *fasthttp.RequestCtx) {
+		_, _ = ctx.Conn().Write([]byte("HTTP/1.1 200 OK\r\nUpstream: u0\r\nContent-Length: 0\r\n\r\n"))
+	})
+	for _, method := range []string{"GET", "POST"} {
+		resp := m.send(0, request{method: method, path: "/read/1", id: method})
+		g.Expect(string(resp.Header.Peek(headerNames.UpstreamStamp))).To(Equal("u0"))
+		g.Expect(string(resp.Body())).To(Equal("answer of u0"))
+	}
+}
+
 // Guards against waiting longer than the route's timeout, and against reporting a request that was sent as refused.
 func TestTimeoutIsNotReportedAsRefusal(t *testing.T) {
 	g := NewWithT(t)
