Check in the soak that planned work loses no request

The new kind of run "planned" plays SIGTERM, SIGHUP and versions only, closely, with long executions and a load near the capacity, so that retries are refused.

--- a/cmd/bamboodeal-soak/main.go
+++ b/cmd/bamboodeal-soak/main.go
@@ -45,6 +45,7 @@
 // passed.
 type arguments struct {
 	nodeProgram, workDirectory string
+	kind                       string
 	firstSeed, seedCount       int
 	minutes                    float64
 	vmCount, faultSeconds      int
@@ -52,7 +53,7 @@
 
 func main() {
 	a := arguments{
-		nodeProgram: ".bin/bamboodeal-sidecar", workDirectory: ".soak",
+		nodeProgram: ".bin/bamboodeal-sidecar", workDirectory: ".soak", kind: string(soak.KindFaults),
 		firstSeed: 1, seedCount: 1, vmCount: 6, faultSeconds: 15,
 	}
 	flaggy.SetName("bamboodeal-soak")
@@ -60,6 +61,7 @@
 	flaggy.SetVersion(version)
 	flaggy.String(&a.nodeProgram, "", "program", "program of the node")
 	flaggy.String(&a.workDirectory, "", "work-directory", "directory for settings and logs; those of a seed that kept all guarantees are removed")
+	flaggy.String(&a.kind, "", "kind", "kind of run: faults (random faults of all kinds) or planned (stops, SIGHUP and versions only, under high load)")
 	flaggy.Int(&a.firstSeed, "", "seed", "first seed")
 	flaggy.Int(&a.seedCount, "", "seeds", "number of seeds from the first on")
 	flaggy.Float64(&a.minutes, "", "minutes", "play fresh seeds for so many minutes instead")
@@ -83,6 +85,8 @@
 // validate checks the arguments and makes the path of the node's program absolute.
 func (a *arguments) validate() error {
 	switch {
+	case a.kind != string(soak.KindFaults) && a.kind != string(soak.KindPlanned):
+		return fmt.Errorf("%w: --kind is unknown; give %s or %s", errInvalidArguments, soak.KindFaults, soak.KindPlanned)
 	case a.firstSeed < 0 || a.seedCount < 1:
 		return fmt.Errorf("%w: --seed or --seeds is too small; give a --seed of at least 0 and --seeds of at least 1", errInvalidArguments)
 	case a.minutes < 0:
@@ -145,7 +149,7 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	log.SetLevel(logrus.WarnLevel)
 	o := soak.Options{
-		NodeProgram: a.nodeProgram, Directory: directory, Seed: seed, VMs: a.vmCount, Log: log,
+		NodeProgram: a.nodeProgram, Directory: directory, Seed: seed, Kind: soak.Kind(a.kind), VMs: a.vmCount, Log: log,
 		FaultDuration: time.Duration(a.faultSeconds) * time.Second,
 	}
 	terminal := isatty.IsTerminal(os.Stderr.Fd())
--- a/experiments/soak/caller.go
+++ b/experiments/soak/caller.go
@@ -26,6 +26,7 @@
 // sendRequest sends one request over a connection that client keeps open, records the request and checks the response
 // in the ledger. It returns the status, or statusNoResponse.
 func sendRequest(client *fasthttp.HostClient, l *ledger, spec requestSpec, key string, deadline time.Duration) int {
+	spec.deadline = deadline
 	l.recordRequest(spec)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -42,7 +43,7 @@
 		req.SetBodyString("body of " + spec.id)
 	}
 	if err := client.DoTimeout(req, resp, deadline+responseGracePeriod); err != nil {
-		l.increment("without an answer")
+		l.recordFailure(spec.id, err)
 		return statusNoResponse
 	}
 	l.checkResponse(spec.id, resp.StatusCode(), string(resp.Header.Peek(names.RequestID)),
@@ -60,7 +61,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		spec := requestSpec{
 			id: fmt.Sprintf("%s-%d-%d", v.name, callerNumber, n), method: fasthttp.MethodGet, team: team.name,
-			callerWorker: v.settings.Service, services: []string{serviceAlpha}, idempotent: true,
+			callerWorker: v.settings.Service, services: []string{serviceAlpha}, idempotent: true, entry: v.name,
 		}
 		switch random.intN(3) {
 		case 0:
@@ -74,10 +75,15 @@
 		}
 		status := sendRequest(client, s.ledger, spec, team.key, callerDeadline)
 		s.countOutcome(status)
-		pause := random.durationBetween(minCallerPause, maxCallerPause)
-		if status == statusNoResponse {
-			pause += maxCallerPause
-		}
-		time.Sleep(pause)
+		pauseCaller(random, status)
+	}
+}
+
+// pauseCaller waits for a random time between two requests of a caller, and longer after a request without response.
+func pauseCaller(random *randomSource, status int) {
+	pause := random.durationBetween(minCallerPause, maxCallerPause)
+	if status == statusNoResponse {
+		pause += maxCallerPause
 	}
+	time.Sleep(pause)
 }
--- a/experiments/soak/ledger.go
+++ b/experiments/soak/ledger.go
@@ -28,6 +28,9 @@
 	team, callerWorker string
 	services           []string
 	idempotent         bool
+	// entry is the VM whose node gets the request from its caller, deadline the time that the caller allows.
+	entry    string
+	deadline time.Duration
 }
 
 // execution is one execution of a request by an upstream. The stamp, which the upstream assigns, identifies it.
@@ -36,6 +39,9 @@
 	upstream string
 	stamp    string
 	status   int
+	// endedAt is zero while the upstream is at work. cancelled is true if the connection was closed meanwhile.
+	endedAt   time.Time
+	cancelled bool
 }
 
 // requestRecord is what the ledger knows of one request.
@@ -45,6 +51,13 @@
 	// refusalStatus is the status with which a node claimed that the request was not executed and never will be; 0 if
 	// none.
 	refusalStatus int
+	// sentAt and endedAt are the times at which the caller began to send the request, and got the response or an error.
+	sentAt, endedAt time.Time
+	status          int
+	// fromUpstream is true if the response carried the stamp of an execution.
+	fromUpstream bool
+	// failure is the error that the caller got instead of a response.
+	failure error
 }
 
 // ledger compares what callers and upstreams observe, and records violations of the guarantees. It is safe for
@@ -55,6 +68,7 @@
 //     told that it was refused.
 //   - "mixed": a caller receives the unchanged response to its own request.
 //   - "quota" and "cold": the executions of teams and of cold upstreams stay within the bounds above.
+//   - "lost": around planned work, an accepted request is not cut off (lost.go).
 //
 // Other parts of the package add violations of "exits", "memory", "recovery" and "version", and failures of the
 // package's own code as "harness".
@@ -65,6 +79,8 @@
 	counts                       map[string]int
 	executionTimesByTeam         map[string][]time.Time
 	coldExecutionTimesByUpstream map[string][]time.Time
+	plannedWork                  []plannedWork
+	unplannedFaults              []timeRange
 }
 
 func newLedger() *ledger {
@@ -100,7 +116,7 @@
 func (l *ledger) recordRequest(spec requestSpec) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.records[spec.id] = &requestRecord{requestSpec: spec}
+	l.records[spec.id] = &requestRecord{requestSpec: spec, sentAt: time.Now()}
 	l.counts["requests"]++
 }
 
@@ -146,14 +162,24 @@
 	}
 }
 
-// recordStatus records the status with which an execution ended.
-func (l *ledger) recordStatus(id, stamp string, status int) {
+// recordFailure records that the caller of a request got an error instead of a response.
+func (l *ledger) recordFailure(id string, failure error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts["without an answer"]++
+	record := l.records[id]
+	record.endedAt, record.failure = time.Now(), failure
+}
+
+// recordExecutionEnd records the status with which an execution ended and whether it was cancelled.
+func (l *ledger) recordExecutionEnd(id, stamp string, status int, cancelled bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if record := l.records[id]; record != nil {
 		for i := range record.executions {
 			if record.executions[i].stamp == stamp {
-				record.executions[i].status = status
+				executed := &record.executions[i]
+				executed.status, executed.endedAt, executed.cancelled = status, time.Now(), cancelled
 			}
 		}
 	}
@@ -164,6 +190,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	record := l.records[id]
+	record.endedAt, record.status, record.fromUpstream = time.Now(), status, stamp != ""
 	l.counts[fmt.Sprint("status ", status)]++
 	if responseID != "" && responseID != id {
 		l.addViolationLocked("mixed", "the caller of %s got the answer of %s", id, responseID)
