Count the connections of a stopping node by phase

Change: each connection has a phase (idle, reading, handling, writing, message), kept by a wrapper of the listener and fasthttp's ConnState hook. A request counts from its first byte until its answer is written, also if it arrived together with the request before it. The lines "stopping" and "stopped" show the phases of the callers' and the other nodes' connections, the requests that wait for a slot, run at the upstream or were sent to other nodes, how long the stop took, and by how much the process was late at most. The metrics show the same counts. Cost: one uncontended lock for each read and each change of phase; no goroutine, no timer.

--- /dev/null
+++ b/pkg/sidecar/conns.go
@@ -0,0 +1,143 @@
+package sidecar
+
+import (
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+// connPhase says what a connection that a server accepted is used for at the moment.
+type connPhase int
+
+const (
+	// phaseIdle means that no byte of a request has been read since the last answer was written.
+	phaseIdle connPhase = iota
+	// phaseReading means that a part of a request has been read, but the request has not been passed to its handler.
+	phaseReading
+	// phaseHandling means that the handler of a request runs.
+	phaseHandling
+	// phaseWriting means that the handler has returned and the answer has not been written completely.
+	phaseWriting
+	// phaseMessage means that the connection carries a message of another node. Such an exchange may wait for changes
+	// for a long time and is repeated elsewhere if it fails.
+	phaseMessage
+	phaseCount
+)
+
+var phaseNames = [phaseCount]string{"idle", "reading", "handling", "writing", "message"}
+
+// connCounts holds the number of connections in each phase.
+type connCounts [phaseCount]int
+
+// connTracker knows the phase of each connection that one server accepted. A request counts from its first byte until
+// its answer has been written. The server's own counters cover only the time in which a handler runs.
+type connTracker struct {
+	mu     sync.Mutex
+	conns  map[*trackedConn]struct{}
+	counts connCounts
+}
+
+func newConnTracker() *connTracker { return &connTracker{conns: map[*trackedConn]struct{}{}} }
+
+// attach makes the tracker follow the connections of the server.
+func (t *connTracker) attach(s *fasthttp.Server) {
+	s.ConnState = t.recordState
+	handler := s.Handler
+	s.Handler = func(ctx *fasthttp.RequestCtx) {
+		setPhase(ctx.Conn(), phaseHandling)
+		defer setPhase(ctx.Conn(), phaseWriting)
+		handler(ctx)
+	}
+}
+
+// setPhase sets the phase of a connection, if it is tracked.
+func setPhase(conn net.Conn, phase connPhase) {
+	if c, ok := conn.(*trackedConn); ok {
+		c.tracker.mu.Lock()
+		defer c.tracker.mu.Unlock()
+		c.setPhaseLocked(phase)
+	}
+}
+
+// recordState receives the state changes of the server's connections. After an answer, a connection is idle. A request
+// that arrived together with the one before it is already in the server's buffer, so no read shows its first byte.
+func (t *connTracker) recordState(conn net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateIdle:
+		setPhase(conn, phaseIdle)
+	case fasthttp.StateActive:
+		setPhase(conn, phaseReading)
+	}
+}
+
+// snapshot returns the number of connections in each phase.
+func (t *connTracker) snapshot() connCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts
+}
+
+// trackedListener makes a tracker follow the connections that a listener accepts.
+type trackedListener struct {
+	*net.TCPListener
+	tracker *connTracker
+}
+
+// Accept waits for the next connection.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	t := l.tracker
+	c := &trackedConn{TCPConn: conn, tracker: t}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns[c] = struct{}{}
+	t.counts[phaseIdle]++
+	return c, nil
+}
+
+// trackedConn is a connection that a trackedListener accepted.
+type trackedConn struct {
+	*net.TCPConn
+	tracker *connTracker
+	// phase and closed are guarded by the tracker's lock.
+	phase  connPhase
+	closed bool
+}
+
+func (c *trackedConn) setPhaseLocked(phase connPhase) {
+	if !c.closed {
+		c.tracker.counts[c.phase]--
+		c.tracker.counts[phase]++
+	}
+	c.phase = phase
+}
+
+// Read reads from the connection. The first byte of a request starts the phase in which it is read.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.tracker.mu.Lock()
+		defer c.tracker.mu.Unlock()
+		if c.phase == phaseIdle {
+			c.setPhaseLocked(phaseReading)
+		}
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	t := c.tracker
+	t.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		t.counts[c.phase]--
+		delete(t.conns, c)
+	}
+	t.mu.Unlock()
+	return c.TCPConn.Close()
+}
--- /dev/null
+++ b/pkg/sidecar/conns_test.go
@@ -0,0 +1,91 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+)
+
+// largeAnswerSize in bytes is more than the socket buffers between two processes of one machine hold, so that an answer
+// of this size is written completely only after its caller has read most of it.
+const largeAnswerSize = 24 << 20
+
+// callerConn is a connection of a caller whose bytes a test sends and reads by hand.
+type callerConn struct {
+	net.Conn
+	t *testing.T
+	r *bufio.Reader
+}
+
+// dial opens a connection to one of a node's ports: 0 for callers, 1 for other nodes.
+func (m *testMesh) dial(node, port int) *callerConn {
+	m.t.Helper()
+	conn, err := net.Dial("tcp4", m.address(node, port))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		m.t.Fatal(err)
+	}
+	return &callerConn{conn, m.t, bufio.NewReader(conn)}
+}
+
+func (c *callerConn) sendText(text string) {
+	c.t.Helper()
+	if _, err := c.Write([]byte(text)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// readAnswer reads the next answer. It returns an error if the connection ends before the answer is complete.
+func (c *callerConn) readAnswer() (*fasthttp.Response, error) {
+	resp := &fasthttp.Response{}
+	return resp, resp.Read(c.r)
+}
+
+// requestText returns the bytes of a request of a caller.
+func requestText(method, path, id string, deadline time.Duration, body string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: shop\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s", method, path,
+		headerNames.RequestID, id, headerNames.APIKey, testKey, headerNames.DeadlineMS, deadline.Milliseconds(), len(body), body)
+}
+
+// Guards against requests that no counter shows while they are read or while their answer is written: a stopping node
+// that looks only at its handlers takes their connections for idle ones.
+func TestConnectionPhasesAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, nil)
+	respond := make(chan struct{})
+	m.upstreams[0].setHandler(func(ctx *fasthttp.RequestCtx) {
+		<-respond
+		ctx.SetBody(bytes.Repeat([]byte{'x'}, largeAnswerSize))
+	})
+	counts := func() connCounts { return m.nodes[0].callers.conns.snapshot() }
+	c := m.dial(0, 0)
+	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseIdle: 1}))
+	// The second request arrives together with the end of the first one.
+	first, second := requestText("GET", "/read/1", "a", 0, ""), requestText("GET", "/read/1", "b", 0, "")
+	c.sendText(first[:20])
+	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseReading: 1}))
+	c.sendText(first[20:] + second)
+	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseHandling: 1}))
+	respond <- struct{}{}
+	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseWriting: 1}))
+	_, err := c.readAnswer()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseHandling: 1}))
+	respond <- struct{}{}
+	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseWriting: 1}))
+	_, err = io.CopyN(io.Discard, c.r, largeAnswerSize)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseIdle: 1}))
+	g.Expect(c.Close()).To(Succeed())
+	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{}))
+}
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -27,14 +27,21 @@
 // serveMetrics writes all metrics as text.
 func (n *Node) serveMetrics(ctx *fasthttp.RequestCtx) {
 	load := n.controller.queue.load()
-	const nodeLineCount = 4
+	servers := [...]*trackedServer{n.callers, n.peers}
+	const nodeLineCount = 5 + len(servers)*int(phaseCount)
 	lines := make([]string, 0, nodeLineCount)
 	lines = append(lines,
 		fmt.Sprintf("%squeue_running %d", metricPrefix, load.Running),
 		fmt.Sprintf("%squeue_waiting %d", metricPrefix, load.Waiting),
 		fmt.Sprintf("%squeue_slots %d", metricPrefix, load.Slots),
+		fmt.Sprintf("%ssent_to_nodes %d", metricPrefix, n.sentToNodes.Load()),
 		fmt.Sprintf("%sstore_age_seconds %.3f", metricPrefix, n.o.StoreAge().Seconds()),
 	)
+	for _, s := range servers {
+		for phase, count := range s.conns.snapshot() {
+			lines = append(lines, fmt.Sprintf("%s %d", metricName("connections", "server", s.name, "phase", phaseNames[phase]), count))
+		}
+	}
 	n.recorder.registry.Each(func(name string, metric any) {
 		switch m := metric.(type) {
 		case metrics.Counter:
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
@@ -54,7 +55,11 @@
 	peerPool           *peer.Pool
 	peerPort           string
 	requestsInProgress atomic.Int64
-	stopping           atomic.Bool
+	// sentToNodes is the number of requests that other nodes have at the moment.
+	sentToNodes atomic.Int64
+	stopping    atomic.Bool
+	// callers and peers are the servers for callers and other nodes. They are set before the node serves requests.
+	callers, peers *trackedServer
 
 	mu             sync.Mutex
 	placementTable *placement.Table
@@ -107,34 +112,54 @@
 	}
 }
 
-// Run serves until ctx ends and then stops gracefully. It returns an error if it cannot listen on one of the addresses.
-func (n *Node) Run(ctx context.Context) error {
-	callers := n.newServer(n.handle, callerIdleTimeout)
-	peers := n.newServer(n.handlePeer, peerServerIdleTimeout)
-	ready := n.newServer(n.handleReady, callerIdleTimeout)
-	servers := []*fasthttp.Server{callers, peers, ready}
-	peerListen := cmp.Or(n.o.Settings.PeerListenAddress, n.o.Settings.PeerAddress)
-	addresses := []string{n.o.Settings.CallerAddress, peerListen, n.o.Settings.ReadyAddress}
-	if n.o.Settings.MetricsAddress != "" {
-		servers = append(servers, n.newServer(n.serveMetrics, callerIdleTimeout))
-		addresses = append(addresses, n.o.Settings.MetricsAddress)
+// trackedServer is one of the node's HTTP servers.
+type trackedServer struct {
+	*fasthttp.Server
+	name     string
+	address  string
+	listener *trackedListener
+	conns    *connTracker
+}
+
+// listen makes the node listen on the addresses of its servers.
+func (n *Node) listen() ([]*trackedServer, error) {
+	s := &n.o.Settings
+	n.callers = n.newTrackedServer("callers", s.CallerAddress, n.handle, callerIdleTimeout)
+	n.peers = n.newTrackedServer("peers", cmp.Or(s.PeerListenAddress, s.PeerAddress), n.handlePeer, peerServerIdleTimeout)
+	servers := []*trackedServer{n.callers, n.peers, n.newTrackedServer("ready", s.ReadyAddress, n.handleReady, callerIdleTimeout)}
+	if s.MetricsAddress != "" {
+		servers = append(servers, n.newTrackedServer("metrics", s.MetricsAddress, n.serveMetrics, callerIdleTimeout))
 	}
-	listeners := make([]net.Listener, len(addresses))
-	for i, address := range addresses {
-		l, err := net.Listen("tcp4", address)
+	for _, server := range servers {
+		l, err := net.Listen("tcp4", server.address)
 		if err != nil {
-			return eris.Wrapf(err, "cannot listen on %s; check the address and that no other process uses it", address)
+			return nil, eris.Wrapf(err, "cannot listen on %s; check the address and that no other process uses it", server.address)
 		}
-		listeners[i] = l
+		server.listener = &trackedListener{l.(*net.TCPListener), server.conns}
+	}
+	return servers, nil
+}
+
+func (n *Node) newTrackedServer(name, address string, handler fasthttp.RequestHandler, idle time.Duration) *trackedServer {
+	s := &trackedServer{Server: n.newServer(handler, idle), name: name, address: address, conns: newConnTracker()}
+	s.conns.attach(s.Server)
+	return s
+}
+
+// Run serves until ctx ends and then stops gracefully. It returns an error if it cannot listen on one of the addresses.
+func (n *Node) Run(ctx context.Context) error {
+	servers, err := n.listen()
+	if err != nil {
+		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group conc.WaitGroup
 	group.Go(func() { n.controller.health.run(background) })
-	for i := range servers {
+	for _, s := range servers {
 		group.Go(func() {
-			if err := servers[i].Serve(listeners[i]); err != nil {
-				n.o.Log.WithError(err).WithField("address", addresses[i]).Error("a listener failed; restart the node")
+			if err := s.Serve(s.listener); err != nil {
+				n.o.Log.WithError(err).WithField("address", s.address).Error("a listener failed; restart the node")
 			}
 		})
 	}
@@ -163,13 +188,34 @@
 func (n *Node) stop() {
 	started := n.o.Clock.Now()
 	n.stopping.Store(true)
-	n.o.Log.WithField("in_progress", n.inProgress()).Info("stopping: the node is no longer ready")
+	n.o.Log.WithFields(n.stopFields()).Info("stopping: the node is no longer ready")
 	time.Sleep(min(stopNoticePeriod, n.o.Settings.StopGracePeriod/2))
 	n.controller.leaving.Store(true)
+	longestDelay := time.Duration(0)
 	for n.inProgress() > 0 && n.o.Clock.Now()-started < n.o.Settings.StopGracePeriod-closeReserve {
+		before := n.o.Clock.Now()
 		time.Sleep(stopPollInterval)
+		longestDelay = max(longestDelay, n.o.Clock.Now()-before-stopPollInterval)
+	}
+	fields := n.stopFields()
+	fields["took_ms"] = (n.o.Clock.Now() - started).Milliseconds()
+	fields["longest_delay_ms"] = longestDelay.Milliseconds()
+	n.o.Log.WithFields(fields).Info("stopped")
+}
+
+// stopFields returns the log fields that show which requests a stopping node has: the connections in each phase, and
+// the requests that wait for a slot of the node's upstream, run at it, or were sent to other nodes.
+func (n *Node) stopFields() logrus.Fields {
+	load := n.controller.queue.load()
+	fields := logrus.Fields{
+		"in_progress": n.inProgress(), "waiting": load.Waiting, "at_upstream": load.Running, "at_other_nodes": n.sentToNodes.Load(),
+	}
+	for _, s := range [...]*trackedServer{n.callers, n.peers} {
+		for phase, count := range s.conns.snapshot() {
+			fields[s.name+"_"+phaseNames[phase]] = count
+		}
 	}
-	n.o.Log.WithField("in_progress", n.inProgress()).Info("stopped")
+	return fields
 }
 
 // inProgress returns the number of requests in progress at the node and at its upstream.
@@ -225,6 +271,7 @@
 func (n *Node) handlePeer(ctx *fasthttp.RequestCtx) {
 	header := ctx.Request.Header.Peek(hopHeader)
 	if len(header) == 0 {
+		setPhase(ctx.Conn(), phaseMessage)
 		switch string(ctx.Path()) {
 		case leasePath:
 			n.teamLimiter.serveHTTP(ctx)
@@ -324,6 +371,8 @@
 	if err != nil {
 		return attemptResult{outcome: outcomeNotRun, reason: ReasonUnreachable}
 	}
+	n.sentToNodes.Add(1)
+	defer n.sentToNodes.Add(-1)
 	sent, err := conn.Send(req, resp, until, c.caller)
 	if sent != peer.ResponseReceived {
 		return sendErrorResult(sent, err)
