Close a stopping node's connections without losing requests

Cause: the stop waited for handlers only. A handler has returned before its answer is written, and does not run yet while a request is read. Then the servers were shut down with a context that had ended. fasthttp closes connections then that a goroutine may be reading, leaves new ones open for 5 s, and resets its stop flag, so that the process went on reading until it had exited. Change: a stop has two times, answersDue and end (signal + grace period - closeReserve). It ends early only when no connection of callers or other nodes has a request that was read in part and not answered. Then the listeners are closed, and reads get a deadline: one that has passed for idle connections, the time until answersDue plus one check interval for requests of which a part has come. Run returns when all connections are closed. What is left at the end is cut and counted in the line "stopped". An incomplete request is refused with 503; fasthttp answered 400 to a time-out in a header, after which callers do not try again. Why this works: a read deadline wakes a blocked read, which returns either bytes or an error, so nothing that was read is dropped. Bytes that were never read make the caller see a reset, and it knows that the request was not read. Ruled out: fasthttp's Shutdown with a time limit; it closes a connection whose first byte is being read and awaits new connections for 5 s. Its idle timeout cannot drop a request, for the same reason as above. Cost: no goroutine or timer for a request.

--- a/pkg/sidecar/conns.go
+++ b/pkg/sidecar/conns.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -19,23 +20,29 @@
 	phaseHandling
 	// phaseWriting means that the handler has returned and the answer has not been written completely.
 	phaseWriting
-	// phaseMessage means that the connection carries a message of another node. Such an exchange may wait for changes
-	// for a long time and is repeated elsewhere if it fails.
-	phaseMessage
+	// phaseWaiting means that the handler waits for changes of the store, which may take long. A stopping node does not
+	// await it, because the other node asks elsewhere.
+	phaseWaiting
 	phaseCount
 )
 
-var phaseNames = [phaseCount]string{"idle", "reading", "handling", "writing", "message"}
+var phaseNames = [phaseCount]string{"idle", "reading", "handling", "writing", "waiting"}
 
 // connCounts holds the number of connections in each phase.
 type connCounts [phaseCount]int
 
+// inUse returns the number of connections with a request that was read in part or completely and whose answer has not
+// been written.
+func (c *connCounts) inUse() int { return c[phaseReading] + c[phaseHandling] + c[phaseWriting] }
+
 // connTracker knows the phase of each connection that one server accepted. A request counts from its first byte until
 // its answer has been written. The server's own counters cover only the time in which a handler runs.
 type connTracker struct {
 	mu     sync.Mutex
 	conns  map[*trackedConn]struct{}
 	counts connCounts
+	// readUntil is the time until which requests that have begun are read. It is zero until stopReading is called.
+	readUntil time.Time
 }
 
 func newConnTracker() *connTracker { return &connTracker{conns: map[*trackedConn]struct{}{}} }
@@ -78,6 +85,34 @@
 	return t.counts
 }
 
+// stopReading makes the connections read no further requests. Idle connections are closed by the goroutines that serve
+// them. A request of which a part has been read is read until the given time and answered.
+//
+// A deadline that has passed wakes up a blocked read, which then returns either bytes or an error. So no bytes are lost
+// that the connection has already handed over, as they would be if it were closed.
+func (t *connTracker) stopReading(until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.readUntil = until
+	for c := range t.conns {
+		// An error means that the connection is closed, so nothing is read from it.
+		_ = c.setReadDeadlineLocked(until)
+	}
+}
+
+// closeAll closes the remaining connections and returns how many of them were in use.
+func (t *connTracker) closeAll() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cut := t.counts.inUse()
+	for c := range t.conns {
+		// An error means that the connection is already closed.
+		_ = c.TCPConn.Close()
+		c.removeLocked()
+	}
+	return cut
+}
+
 // trackedListener makes a tracker follow the connections that a listener accepts.
 type trackedListener struct {
 	*net.TCPListener
@@ -129,15 +164,37 @@
 	return n, err
 }
 
+// SetReadDeadline sets the time until which a read may block. After stopReading, the time is bounded.
+func (c *trackedConn) SetReadDeadline(until time.Time) error {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	return c.setReadDeadlineLocked(until)
+}
+
+func (c *trackedConn) setReadDeadlineLocked(until time.Time) error {
+	if limit := c.tracker.readUntil; !limit.IsZero() {
+		if until.IsZero() || until.After(limit) {
+			until = limit
+		}
+		if c.phase == phaseIdle {
+			until = time.Unix(1, 0)
+		}
+	}
+	return c.TCPConn.SetReadDeadline(until)
+}
+
 // Close closes the connection.
 func (c *trackedConn) Close() error {
-	t := c.tracker
-	t.mu.Lock()
+	c.tracker.mu.Lock()
+	c.removeLocked()
+	c.tracker.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+func (c *trackedConn) removeLocked() {
 	if !c.closed {
 		c.closed = true
-		t.counts[c.phase]--
-		delete(t.conns, c)
+		c.tracker.counts[c.phase]--
+		delete(c.tracker.conns, c)
 	}
-	t.mu.Unlock()
-	return c.TCPConn.Close()
 }
--- a/pkg/sidecar/conns_test.go
+++ b/pkg/sidecar/conns_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,10 +25,10 @@
 	r *bufio.Reader
 }
 
-// dial opens a connection to one of a node's ports: 0 for callers, 1 for other nodes.
-func (m *testMesh) dial(node, port int) *callerConn {
+// dial opens a caller's connection to the first node.
+func (m *testMesh) dial() *callerConn {
 	m.t.Helper()
-	conn, err := net.Dial("tcp4", m.address(node, port))
+	conn, err := net.Dial("tcp4", m.address(0, 0))
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -51,12 +52,17 @@
 	return resp, resp.Read(c.r)
 }
 
-// requestText returns the bytes of a request of a caller.
-func requestText(method, path, id string, deadline time.Duration, body string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: shop\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s", method, path,
-		headerNames.RequestID, id, headerNames.APIKey, testKey, headerNames.DeadlineMS, deadline.Milliseconds(), len(body), body)
+// requestText returns the bytes of a request of a caller with further header lines.
+func requestText(method, path, id, body string, headerLines ...string) string {
+	lines := append([]string{
+		method + " " + path + " HTTP/1.1", "Host: shop", headerNames.RequestID + ": " + id, fmt.Sprint("Content-Length: ", len(body)),
+	}, headerLines...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
 }
 
+// withKey is the header line with the caller's key.
+const withKey = "Key: " + testKey
+
 // Guards against requests that no counter shows while they are read or while their answer is written: a stopping node
 // that looks only at its handlers takes their connections for idle ones.
 func TestConnectionPhasesAreCounted(t *testing.T) {
@@ -68,10 +74,10 @@
 		ctx.SetBody(bytes.Repeat([]byte{'x'}, largeAnswerSize))
 	})
 	counts := func() connCounts { return m.nodes[0].callers.conns.snapshot() }
-	c := m.dial(0, 0)
+	c := m.dial()
 	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseIdle: 1}))
 	// The second request arrives together with the end of the first one.
-	first, second := requestText("GET", "/read/1", "a", 0, ""), requestText("GET", "/read/1", "b", 0, "")
+	first, second := requestText("GET", "/read/1", "a", "", withKey), requestText("GET", "/read/1", "b", "", withKey)
 	c.sendText(first[:20])
 	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseReading: 1}))
 	c.sendText(first[20:] + second)
--- a/pkg/sidecar/harness_test.go
+++ b/pkg/sidecar/harness_test.go
@@ -217,7 +217,7 @@
 		Settings: Settings{
 			VM: fmt.Sprint("vm", i), DataCentre: "north", Service: testService, CallerAddress: m.address(i, 0),
 			PeerAddress: m.address(i, 1), ReadyAddress: m.address(i, 2), UpstreamAddress: m.upstreams[i].address,
-			StopGracePeriod: 6 * time.Second, HeartbeatInterval: 1500 * time.Millisecond,
+			StopGracePeriod: testGracePeriod, HeartbeatInterval: 1500 * time.Millisecond,
 			ColdRateFactor: 1.5, ColdRateSlack: 5, RetryBudgetRatio: 0.2, RetryBudgetSlack: 56,
 		},
 		Headers: headerNames, Clock: clock.System(), Log: log, View: own,
@@ -243,7 +243,10 @@
 		}
 	}()
 	m.t.Cleanup(func() {
-		n.o.Settings.StopGracePeriod = 0
+		if ctx.Err() == nil {
+			// The node has not read the period yet.
+			n.o.Settings.StopGracePeriod = 0
+		}
 		cancel()
 	})
 }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
@@ -36,13 +35,6 @@
 	maxBodySize = 64 << 20
 	// peerIdleTimeout is how long an idle connection to another node is kept.
 	peerIdleTimeout = 20 * time.Second
-	// stopNoticePeriod is how long a stopping node accepts requests so that callers can learn that it stops. The
-	// readiness check runs once a second, and two failures take the node out of use.
-	stopNoticePeriod = 2800 * time.Millisecond
-	// closeReserve is the part of the grace period that is left for closing the servers.
-	closeReserve = 400 * time.Millisecond
-	// stopPollInterval is how often a stopping node checks whether requests are in progress.
-	stopPollInterval = 50 * time.Millisecond
 )
 
 // Node forwards the requests of the callers on one VM, and runs requests of all nodes at the upstream of the VM.
@@ -164,69 +156,16 @@
 		})
 	}
 	<-ctx.Done()
-	n.stop()
-	cancel()
-	for _, s := range servers {
-		if err := s.ShutdownWithContext(cancelledContext()); err != nil {
-			n.o.Log.WithError(err).Debug("connections were still open when the node stopped")
-		}
-	}
+	n.stop(servers, cancel)
 	group.Wait()
 	return nil
 }
 
-// cancelledContext returns a context that has ended, with which a server's shutdown closes the open connections at
-// once.
-func cancelledContext() context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	return ctx
-}
-
-// stop makes the node not ready, keeps accepting requests for stopNoticePeriod, and then waits for the requests in
-// progress for as long as the grace period allows.
-func (n *Node) stop() {
-	started := n.o.Clock.Now()
-	n.stopping.Store(true)
-	n.o.Log.WithFields(n.stopFields()).Info("stopping: the node is no longer ready")
-	time.Sleep(min(stopNoticePeriod, n.o.Settings.StopGracePeriod/2))
-	n.controller.leaving.Store(true)
-	longestDelay := time.Duration(0)
-	for n.inProgress() > 0 && n.o.Clock.Now()-started < n.o.Settings.StopGracePeriod-closeReserve {
-		before := n.o.Clock.Now()
-		time.Sleep(stopPollInterval)
-		longestDelay = max(longestDelay, n.o.Clock.Now()-before-stopPollInterval)
-	}
-	fields := n.stopFields()
-	fields["took_ms"] = (n.o.Clock.Now() - started).Milliseconds()
-	fields["longest_delay_ms"] = longestDelay.Milliseconds()
-	n.o.Log.WithFields(fields).Info("stopped")
-}
-
-// stopFields returns the log fields that show which requests a stopping node has: the connections in each phase, and
-// the requests that wait for a slot of the node's upstream, run at it, or were sent to other nodes.
-func (n *Node) stopFields() logrus.Fields {
-	load := n.controller.queue.load()
-	fields := logrus.Fields{
-		"in_progress": n.inProgress(), "waiting": load.Waiting, "at_upstream": load.Running, "at_other_nodes": n.sentToNodes.Load(),
-	}
-	for _, s := range [...]*trackedServer{n.callers, n.peers} {
-		for phase, count := range s.conns.snapshot() {
-			fields[s.name+"_"+phaseNames[phase]] = count
-		}
-	}
-	return fields
-}
-
-// inProgress returns the number of requests in progress at the node and at its upstream.
-func (n *Node) inProgress() int64 {
-	return n.requestsInProgress.Load() + n.controller.requestsInProgress.Load()
-}
-
 // newServer returns an HTTP server with the handler, whose idle connections are closed after idle.
 func (n *Node) newServer(handler fasthttp.RequestHandler, idle time.Duration) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      n.recoverPanics(handler),
+		ErrorHandler:                 n.handleReadError,
 		Logger:                       textlessLogger{n.o.Log},
 		ReadBufferSize:               maxHeaderSize,
 		ReadTimeout:                  readTimeout,
@@ -237,7 +176,6 @@
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
 		SecureErrorLogMessage:        true,
-		CloseOnShutdown:              true,
 		ReduceMemoryUsage:            true,
 	}
 }
@@ -271,11 +209,11 @@
 func (n *Node) handlePeer(ctx *fasthttp.RequestCtx) {
 	header := ctx.Request.Header.Peek(hopHeader)
 	if len(header) == 0 {
-		setPhase(ctx.Conn(), phaseMessage)
 		switch string(ctx.Path()) {
 		case leasePath:
 			n.teamLimiter.serveHTTP(ctx)
 		case storeChangesPath:
+			setPhase(ctx.Conn(), phaseWaiting)
 			n.serveStoreChanges(ctx)
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
--- /dev/null
+++ b/pkg/sidecar/stop.go
@@ -0,0 +1,142 @@
+package sidecar
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// stopNoticePeriod is how long a stopping node accepts requests so that callers can learn that it stops. The
+	// readiness check runs once a second, and two failures take the node out of use.
+	stopNoticePeriod = 2800 * time.Millisecond
+	// closeReserve is the part of the grace period in which the process ends after its last connection has been closed.
+	closeReserve = 400 * time.Millisecond
+	// answerReserve is the time before the last connection is closed in which unfinished requests are answered. A
+	// waiting request looks only every callerCheckInterval whether its answer is due. Both reserves together are less
+	// than the sixth of a grace period of 6 s in which the rules of the platform allow a request to be broken off.
+	answerReserve = 2 * callerCheckInterval
+	// stopPollInterval is how often a stopping node checks whether requests are in progress, and closePollInterval how
+	// often it checks whether the last answers have been written.
+	stopPollInterval  = 50 * time.Millisecond
+	closePollInterval = 10 * time.Millisecond
+)
+
+// stopTimes holds the times of a graceful stop on the process's clock.
+type stopTimes struct {
+	started time.Duration
+	// answersDue is when each request gets its answer, even if it is unfinished.
+	answersDue time.Duration
+	// end is when the last connection is closed.
+	end time.Duration
+}
+
+// stop ends the work of the servers. The node is not ready from now on but accepts requests for stopNoticePeriod. Then
+// it waits until no connection has a request that was read and not answered, closes the listeners, reads no further
+// requests and writes the remaining answers. When it returns, all connections are closed. releaseBackground is called
+// when the work in the background is no longer needed.
+func (n *Node) stop(servers []*trackedServer, releaseBackground func()) {
+	started := n.o.Clock.Now()
+	end := started + n.o.Settings.StopGracePeriod - closeReserve
+	times := &stopTimes{started: started, answersDue: end - answerReserve, end: end}
+	n.stopping.Store(true)
+	n.o.Log.WithFields(n.stopFields()).Info("stopping: the node is no longer ready")
+	time.Sleep(min(stopNoticePeriod, n.o.Settings.StopGracePeriod/2))
+	n.controller.leaving.Store(true)
+	releaseBackground()
+	longestDelay := time.Duration(0)
+	for n.connsInUse() > 0 && n.o.Clock.Now() < times.answersDue {
+		longestDelay = max(longestDelay, n.sleep(stopPollInterval))
+	}
+	fields := n.stopFields()
+	cut := n.closeServers(servers, times)
+	fields["took_ms"] = (n.o.Clock.Now() - started).Milliseconds()
+	fields["longest_delay_ms"] = longestDelay.Milliseconds()
+	fields["cut"] = cut
+	n.o.Log.WithFields(fields).Info("stopped")
+}
+
+// sleep pauses and returns by how much longer the pause was than requested.
+func (n *Node) sleep(d time.Duration) time.Duration {
+	before := n.o.Clock.Now()
+	time.Sleep(d)
+	return n.o.Clock.Now() - before - d
+}
+
+// closeServers closes the listeners and, without losing a request that was read, all connections. It returns the number
+// of connections that had to be cut because their answer was not written by the end.
+func (n *Node) closeServers(servers []*trackedServer, times *stopTimes) int {
+	// A request that is being read now has until then to arrive.
+	readTime := max(times.answersDue+callerCheckInterval-n.o.Clock.Now(), 0)
+	for _, s := range servers {
+		if err := s.listener.Close(); err != nil {
+			n.o.Log.WithError(err).WithField("address", s.address).Warn("closing a listener failed")
+		}
+		s.conns.stopReading(time.Now().Add(readTime))
+	}
+	for openConns(servers) > 0 && n.o.Clock.Now() < times.end {
+		time.Sleep(closePollInterval)
+	}
+	cut := 0
+	for _, s := range servers {
+		cut += s.conns.closeAll()
+	}
+	return cut
+}
+
+// openConns returns the number of connections that still have to be closed by their own goroutines. Those that carry
+// messages are not awaited.
+func openConns(servers []*trackedServer) int {
+	count := 0
+	for _, s := range servers {
+		counts := s.conns.snapshot()
+		count += counts.inUse() + counts[phaseIdle]
+	}
+	return count
+}
+
+// connsInUse returns the number of connections of callers and other nodes with a request that was read in part or
+// completely and whose answer has not been written.
+func (n *Node) connsInUse() int {
+	callers, peers := n.callers.conns.snapshot(), n.peers.conns.snapshot()
+	return callers.inUse() + peers.inUse()
+}
+
+// stopFields returns the log fields that show which requests a stopping node has: the connections in each phase, and
+// the requests that wait for a slot of the node's upstream, run at it, or were sent to other nodes.
+func (n *Node) stopFields() logrus.Fields {
+	load := n.controller.queue.load()
+	fields := logrus.Fields{
+		"in_progress": n.inProgress(), "waiting": load.Waiting, "at_upstream": load.Running, "at_other_nodes": n.sentToNodes.Load(),
+	}
+	for _, s := range [...]*trackedServer{n.callers, n.peers} {
+		for phase, count := range s.conns.snapshot() {
+			fields[s.name+"_"+phaseNames[phase]] = count
+		}
+	}
+	return fields
+}
+
+// inProgress returns the number of requests in progress at the node and at its upstream.
+func (n *Node) inProgress() int64 {
+	return n.requestsInProgress.Load() + n.controller.requestsInProgress.Load()
+}
+
+// handleReadError answers a request that did not arrive completely. It did not run. fasthttp's own handler answers
+// status 400 if the time is over while it reads a header, after which callers do not send the request again.
+func (n *Node) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	var tooLarge *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &tooLarge):
+		ctx.Error("the request header is too large", fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded) && n.stopping.Load():
+		writeError(&ctx.Response, ReasonLeaving, shortestRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		ctx.Error("the request did not arrive in time", fasthttp.StatusRequestTimeout)
+	default:
+		ctx.Error("the request cannot be parsed", fasthttp.StatusBadRequest)
+	}
+}
