Fix the receive buffer in the test of connection phases

Seen: TestConnectionPhasesAreCounted failed in one of 5 runs beside three busy loops on two cores: a connection was idle where the test expected that its answer was still being written ([1 0 0 0 0] instead of [0 0 0 1 0]). Cause: the system lets the receive buffer of a loopback connection grow to 32 MB, which holds the answer of 24 MB. The count was right. Change: the test's caller sets its receive buffer to 64 KB, so that the answer never fits. The assertion is the same.

--- a/pkg/sidecar/conns_test.go
+++ b/pkg/sidecar/conns_test.go
@@ -14,9 +14,14 @@
 	"github.com/valyala/fasthttp"
 )
 
-// largeAnswerSize in bytes is more than the socket buffers between two processes of one machine hold, so that an answer
-// of this size is written completely only after its caller has read most of it.
-const largeAnswerSize = 24 << 20
+const (
+	// largeAnswerSize in bytes is more than the socket buffers of a connection hold, so that an answer of this size is
+	// written completely only after its caller has read most of it.
+	largeAnswerSize = 24 << 20
+	// callerReadBuffer is the size in bytes of the receive buffer of a callerConn. Without a fixed size, the system
+	// enlarges it until it holds a large answer.
+	callerReadBuffer = 64 << 10
+)
 
 // callerConn is a connection of a caller whose bytes a test sends and reads by hand.
 type callerConn struct {
@@ -33,6 +38,9 @@
 		m.t.Fatal(err)
 	}
 	m.t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.(*net.TCPConn).SetReadBuffer(callerReadBuffer); err != nil {
+		m.t.Fatal(err)
+	}
 	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
 		m.t.Fatal(err)
 	}
