--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -35,13 +35,6 @@
 	maxBodySize = 64 << 20
 	// peerIdleTimeout is how long an idle connection to another node is kept.
 	peerIdleTimeout = 20 * time.Second
-	// stopNoticePeriod is how long a stopping node accepts requests so that callers can learn that it stops. The
-	// readiness check runs once a second, and two failures take the node out of use.
-	stopNoticePeriod = 2800 * time.Millisecond
-	// closeReserve is the part of the grace period that is left for closing the servers.
-	closeReserve = 400 * time.Millisecond
-	// stopPollInterval is how often a stopping node checks whether requests are in progress.
-	stopPollInterval = 50 * time.Millisecond
 )
 
 // slowResponse is the interim response with which a node announces that an upstream is slow.
@@ -57,7 +50,13 @@
 	peerPool           *peer.Pool
 	peerPort           string
 	requestsInProgress atomic.Int64
-	stopping           atomic.Bool
+	// sentToNodes is the number of requests that other nodes have at the moment.
+	sentToNodes atomic.Int64
+	stopping    atomic.Bool
+	// stopTimes is nil until the node stops.
+	stopTimes atomic.Pointer[stopTimes]
+	// callers and peers are the servers for callers and other nodes. They are set before the node serves requests.
+	callers, peers *trackedServer
 
 	mu             sync.Mutex
 	placementTable *placement.Table
@@ -110,80 +109,68 @@
 	}
 }
 
-// Run serves until ctx ends and then stops gracefully. It returns an error if it cannot listen on one of the addresses.
-func (n *Node) Run(ctx context.Context) error {
-	callers := n.newServer(n.handle, callerIdleTimeout)
-	peers := n.newServer(n.handlePeer, peerServerIdleTimeout)
-	ready := n.newServer(n.handleReady, callerIdleTimeout)
-	servers := []*fasthttp.Server{callers, peers, ready}
-	peerListen := cmp.Or(n.o.Settings.PeerListenAddress, n.o.Settings.PeerAddress)
-	addresses := []string{n.o.Settings.CallerAddress, peerListen, n.o.Settings.ReadyAddress}
-	if n.o.Settings.MetricsAddress != "" {
-		servers = append(servers, n.newServer(n.serveMetrics, callerIdleTimeout))
-		addresses = append(addresses, n.o.Settings.MetricsAddress)
+// trackedServer is one of the node's HTTP servers.
+type trackedServer struct {
+	*fasthttp.Server
+	name     string
+	address  string
+	listener *trackedListener
+	conns    *connTracker
+}
+
+// listen makes the node listen on the addresses of its servers.
+func (n *Node) listen() ([]*trackedServer, error) {
+	s := &n.o.Settings
+	n.callers = n.newTrackedServer("callers", s.CallerAddress, n.handle, callerIdleTimeout)
+	n.peers = n.newTrackedServer("peers", cmp.Or(s.PeerListenAddress, s.PeerAddress), n.handlePeer, peerServerIdleTimeout)
+	servers := []*trackedServer{n.callers, n.peers, n.newTrackedServer("ready", s.ReadyAddress, n.handleReady, callerIdleTimeout)}
+	if s.MetricsAddress != "" {
+		servers = append(servers, n.newTrackedServer("metrics", s.MetricsAddress, n.serveMetrics, callerIdleTimeout))
 	}
-	listeners := make([]net.Listener, len(addresses))
-	for i, address := range addresses {
-		l, err := net.Listen("tcp4", address)
+	for _, server := range servers {
+		l, err := net.Listen("tcp4", server.address)
 		if err != nil {
-			return eris.Wrapf(err, "cannot listen on %s; check the address and that no other process uses it", address)
+			return nil, eris.Wrapf(err, "cannot listen on %s; check the address and that no other process uses it", server.address)
 		}
-		listeners[i] = l
+		server.listener = &trackedListener{l.(*net.TCPListener), server.conns}
+	}
+	return servers, nil
+}
+
+func (n *Node) newTrackedServer(name, address string, handler fasthttp.RequestHandler, idle time.Duration) *trackedServer {
+	s := &trackedServer{Server: n.newServer(handler, idle), name: name, address: address, conns: newConnTracker()}
+	s.conns.attach(s.Server)
+	return s
+}
+
+// Run serves until ctx ends and then stops gracefully. It returns an error if it cannot listen on one of the addresses.
+func (n *Node) Run(ctx context.Context) error {
+	servers, err := n.listen()
+	if err != nil {
+		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group conc.WaitGroup
 	group.Go(func() { n.controller.health.run(background) })
-	for i := range servers {
+	for _, s := range servers {
 		group.Go(func() {
-			if err := servers[i].Serve(listeners[i]); err != nil {
-				n.o.Log.WithError(err).WithField("address", addresses[i]).Error("a listener failed; restart the node")
+			if err := s.Serve(s.listener); err != nil {
+				n.o.Log.WithError(err).WithField("address", s.address).Error("a listener failed; restart the node")
 			}
 		})
 	}
 	<-ctx.Done()
-	n.stop()
-	cancel()
-	for _, s := range servers {
-		if err := s.ShutdownWithContext(cancelledContext()); err != nil {
-			n.o.Log.WithError(err).Debug("connections were still open when the node stopped")
-		}
-	}
+	n.stop(servers, cancel)
 	group.Wait()
 	return nil
 }
 
-// cancelledContext returns a context that has ended, with which a server's shutdown closes the open connections at
-// once.
-func cancelledContext() context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	return ctx
-}
-
-// stop makes the node not ready, keeps accepting requests for stopNoticePeriod, and then waits for the requests in
-// progress for as long as the grace period allows.
-func (n *Node) stop() {
-	started := n.o.Clock.Now()
-	n.stopping.Store(true)
-	n.o.Log.WithField("in_progress", n.inProgress()).Info("stopping: the node is no longer ready")
-	time.Sleep(min(stopNoticePeriod, n.o.Settings.StopGracePeriod/2))
-	n.controller.leaving.Store(true)
-	for n.inProgress() > 0 && n.o.Clock.Now()-started < n.o.Settings.StopGracePeriod-closeReserve {
-		time.Sleep(stopPollInterval)
-	}
-	n.o.Log.WithField("in_progress", n.inProgress()).Info("stopped")
-}
-
-// inProgress returns the number of requests in progress at the node and at its upstream.
-func (n *Node) inProgress() int64 {
-	return n.requestsInProgress.Load() + n.controller.requestsInProgress.Load()
-}
-
 // newServer returns an HTTP server with the handler, whose idle connections are closed after idle.
 func (n *Node) newServer(handler fasthttp.RequestHandler, idle time.Duration) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      n.recoverPanics(handler),
+		ErrorHandler:                 n.handleReadError,
 		Logger:                       textlessLogger{n.o.Log},
 		ReadBufferSize:               maxHeaderSize,
 		ReadTimeout:                  readTimeout,
@@ -194,7 +181,6 @@
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
 		SecureErrorLogMessage:        true,
-		CloseOnShutdown:              true,
 		ReduceMemoryUsage:            true,
 	}
 }
@@ -232,6 +218,7 @@
 		case leasePath:
 			n.teamLimiter.serveHTTP(ctx)
 		case storeChangesPath:
+			setPhase(ctx.Conn(), phaseWaiting)
 			n.serveStoreChanges(ctx)
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -242,11 +229,7 @@
 	if metadata, err := parseRequestMetadata(header); err == nil {
 		ctx.Request.SetRequestURIBytes(ctx.Request.Header.RequestURI())
 		ctx.Request.Header.SetNoDefaultContentType(true)
-		watch := &peer.Watch{Caller: peer.NewCaller(ctx.Conn()), OnSlow: func() time.Duration {
-			n.announceSlow(ctx)
-			return 0
-		}}
-		a = n.controller.serve(metadata, n.o.Clock.Now(), &ctx.Request, &ctx.Response, watch)
+		a = n.serveForwarded(ctx, metadata)
 		n.recorder.recordUnanswered(string(ctx.Request.Header.Peek(n.o.Headers.RequestID)), metadata, a)
 	}
 	if a.outcome != outcomeRan {
@@ -264,6 +247,27 @@
 	}
 }
 
+// serveForwarded runs a request that another node forwarded.
+func (n *Node) serveForwarded(ctx *fasthttp.RequestCtx, metadata *requestMetadata) attemptResult {
+	arrived := n.o.Clock.Now()
+	deadline, accepted := n.endBeforeStop(arrived, arrived+metadata.remaining, false)
+	if !accepted {
+		return attemptResult{outcome: outcomeNotRun, reason: ReasonLeaving}
+	}
+	shortened := deadline < arrived+metadata.remaining
+	metadata.remaining = deadline - arrived
+	watch := &peer.Watch{Caller: peer.NewCaller(ctx.Conn()), OnSlow: func() time.Duration {
+		n.announceSlow(ctx)
+		return 0
+	}}
+	a := n.controller.serve(metadata, arrived, &ctx.Request, &ctx.Response, watch)
+	if shortened && a.outcome == outcomeUnknown && a.reason == ReasonTimedOut {
+		// The request has time left at its entry node.
+		a.reason = ReasonAnswerLost
+	}
+	return a
+}
+
 // orderCandidates returns the candidates in the order in which to ask them. The load of the node's own upstream is up
 // to date.
 func (n *Node) orderCandidates(list []placement.Candidate) []placement.Candidate {
@@ -344,6 +348,8 @@
 		return attemptResult{outcome: outcomeNotRun, reason: ReasonUnreachable}
 	}
 	watch.SlowOnInterim = true
+	n.sentToNodes.Add(1)
+	defer n.sentToNodes.Add(-1)
 	sent, err := conn.SendWatched(req, resp, until, watch)
 	if sent != peer.ResponseReceived {
 		return sendErrorResult(sent, err)
