Measure how late the process of a sidecar runs

Requests lay unread in its sockets, so no counter had them, and the log could not tell a late process from an idle one.

Change: a goroutine asks to be woken up every 100 ms and compares the time at which it runs with the time that it asked for. The largest delay is a metric on the metrics address. A delay of 200 ms or more gives one log line, at most one a second, with the goroutines, the requests in progress, and the garbage collections and processor times of the period since the last wake-up that was on time. The period starts there and not at the last line, because lines are rare and a collection of half a minute ago says nothing about a standstill.

Cost: nothing per request.

Limits: a standstill shorter than 300 ms may go unnoticed. The Go runtime updates its processor times only when a garbage collection ends. The monotonic clock does not count the time for which a VM is suspended.

Tests: without the goroutine in Node.Run, without the bound on the rate, and with half the threshold, one of the three tests fails each time.

--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -39,6 +39,8 @@
 		switch m := metric.(type) {
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Value()))
 		case metrics.Histogram:
 			lines = append(lines, histogramLines(name, m.Snapshot())...)
 		}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -51,6 +51,7 @@
 	teamLimiter        *teamLimiter
 	retryBudgets       *retryBudgets
 	recorder           *recorder
+	lateness           *latenessMonitor
 	peerPool           *peer.Pool
 	peerPort           string
 	requestsInProgress atomic.Int64
@@ -78,6 +79,7 @@
 	})
 	n.controller = newController(&n.o)
 	n.teamLimiter = newTeamLimiter(&n.o, n.peerPool, ip, n.peerPort)
+	n.lateness = newLatenessMonitor(&n.o, n.recorder.registry, n.inProgress)
 	return n, nil
 }
 
@@ -131,6 +133,7 @@
 	defer cancel()
 	var group conc.WaitGroup
 	group.Go(func() { n.controller.health.run(background) })
+	group.Go(func() { n.lateness.run(background) })
 	for i := range servers {
 		group.Go(func() {
 			if err := servers[i].Serve(listeners[i]); err != nil {
