Don't send requests whose callers have left

Cause: the process of the entry node was late and read the request a second after it had come. call.attempt then sent it without a look at the caller: the caller is checked only while the node waits for a response (awaitFirstByte). The node beside the upstream checks its own caller, which is the entry node. A retry was sent in the same way after the caller had left during the attempt before it.

Fix: each attempt, also the first, looks whether the caller is still connected before anything is sent and before an extra attempt is taken from the retry budget. If not, the call ends with caller_gone, and a reserved attempt goes back. It also holds for requests that may run only once, because none has been sent yet.

Ruled out: the other node as the place of the fault; controller.serve checks its caller in the queue and before it sends. Not covered: a request whose caller waits on while its bytes lie unread; its deadline still counts from the moment at which the node reads it.

--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -275,6 +275,11 @@
 	if c.deadline-now < 2*responseMargin {
 		return true, c.deadlineExceeded()
 	}
+	// The caller may have left before this node read the request, if the process was late, or during an earlier attempt.
+	if !c.caller.Connected() {
+		c.refundReservedAttempt()
+		return true, result{reason: ReasonCallerGone}
+	}
 	if c.attemptsReceived > 0 && !c.takeExtraAttempt(now) {
 		return true, c.noExtraAttempt()
 	}
@@ -294,11 +299,18 @@
 		c.reachedUpstreams[u.ID] = true
 	}
 	done, r = c.handleResult(resp)
-	if done && c.attemptReserved {
+	if done {
+		c.refundReservedAttempt()
+	}
+	return done, r
+}
+
+// refundReservedAttempt returns the extra attempt that was reserved, if any, to the retry budget.
+func (c *call) refundReservedAttempt() {
+	if c.attemptReserved {
 		c.attemptReserved = false
 		c.node.retryBudgets.refundAttempt(c.service)
 	}
-	return done, r
 }
 
 // reserveAttempt takes an extra attempt from the retry budget in advance and reports whether there is one. Only then
