Handle an empty grant of a team that has no holders left

Seen: bamboodeald can end with a panic. A node asks a holder for tokens; before the answer comes, a configuration takes every data centre with upstreams out of service, so the team has no holders; the answer grants nothing.

Cause: adjustToGrant counts empty grants modulo the number of holders, which is then 0. On the code before, TestEmptyGrantAfterHoldersAreGone ends with "panic: runtime error: integer divide by zero" in adjustToGrant (account.go:128).

Rule: an empty grant of a team without holders does not count. It comes from a holder of the previous configuration and says nothing about the next ones, and without holders there is nobody to back off from. When holders are back, the node asks the next one at once, which the test checks too.

--- a/decision/quota/account.go
+++ b/decision/quota/account.go
@@ -124,6 +124,11 @@
 		t.emptyGrants, t.backoff = 0, minBackoff
 		return
 	}
+	// A team has no holders while none of its data centres is in service. This grant then comes from a holder of the
+	// previous configuration and says nothing about the next ones, so it does not count.
+	if len(t.holderOrder) == 0 {
+		return
+	}
 	t.emptyGrants++
 	if t.emptyGrants%min(emptyGrantsBeforeBackoff, len(t.holderOrder)) == 0 {
 		t.noRequestsUntil = now + t.backoff
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -222,6 +222,30 @@
 	g.Expect(b.TakeTokenForWaitingCall(2*sentAt, team)).To(BeFalse(), "tokens must be dropped at a pause")
 }
 
+// Guards against a panic in a node that receives an empty grant after a configuration took all data centres out of
+// service, so that the team has no holders, and against a node that asks no holder when they return.
+func TestEmptyGrantAfterHoldersAreGone(t *testing.T) {
+	g := NewWithT(t)
+	inService := testSet(60, 12)
+	b := NewBorrower("vm", "a", NewPlan(inService))
+	now := 10 * time.Second
+	g.Expect(b.TakeToken(now, team)).To(BeFalse())
+	outgoing := b.DueLeaseRequests(now)
+	g.Expect(outgoing).To(HaveLen(1))
+
+	objects := config.Objects{Teams: inService.Teams, Upstreams: inService.Upstreams}
+	for _, dc := range inService.DataCentres {
+		objects.DataCentres = append(objects.DataCentres, config.DataCentre{Name: dc.Name, State: config.DataCentreOut})
+	}
+	b.Reconfigure(NewPlan(config.NewSet(objects)))
+	b.HandleLeaseResponse(now, outgoing[0].ID, wire.LeaseResponse{Grants: []wire.Grant{{}}})
+	g.Expect(b.Exhausted(team, now+maxBackoff)).To(BeTrue(), "no holder can be asked")
+	g.Expect(b.DueLeaseRequests(now)).To(BeEmpty())
+
+	b.Reconfigure(NewPlan(inService))
+	g.Expect(b.DueLeaseRequests(now)).To(HaveLen(1), "another holder must be asked at once")
+}
+
 func BenchmarkTakeToken(b *testing.B) {
 	plan := NewPlan(testSet(1000, 47))
 	br := NewBorrower("vm", "a", plan)
