Plan the quotas of a configuration without upstreams

Seen: bamboodeald ends with a panic when it adopts a configuration that declares a team and no upstream. Validation accepts such a configuration.

Cause: Plan.assign takes the index of a slot modulo the number of data centres with upstreams, which is 0; a team has at least one slot. On the code before, TestPlanWithoutUpstreamsHasNoHolders ends with "panic: runtime error: integer divide by zero" in assign (plan.go:105).

Fix: without declared upstreams no slot has a holder. Borrower and Holder can handle that: it is what they see when all data centres are out of service.

Ruled out, for the other divisions in decision/quota: limitOfSlot and placeSlot divide by the number of slots, which is at least 1; rotate returns before its modulo for no names; timeUntil returns before its division for a rate of 0.

--- a/decision/quota/plan.go
+++ b/decision/quota/plan.go
@@ -93,8 +93,12 @@
 
 // assign distributes the slots of each team evenly over the data centres, so that the loss of a data centre takes
 // about the same share of each team's rate. The slots of a data centre that is out of service are assigned to the
-// others after all other slots, so that they do not change the holders of those.
+// others after all other slots, so that they do not change the holders of those. Without declared upstreams no slot has
+// a holder.
 func (p *Plan) assign() {
+	if len(p.dataCentres) == 0 {
+		return
+	}
 	load := map[string]float64{}
 	var displaced []Slot
 	for i := range p.set.Teams {
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -246,6 +246,18 @@
 	g.Expect(b.DueLeaseRequests(now)).To(HaveLen(1), "another holder must be asked at once")
 }
 
+// Guards against a panic in a node whose configuration declares a team before the first upstream.
+func TestPlanWithoutUpstreamsHasNoHolders(t *testing.T) {
+	g := NewWithT(t)
+	plan := NewPlan(testSet(60, 0))
+	g.Expect(plan.HolderOf(slot)).To(BeEmpty())
+	g.Expect(plan.SlotsHeldBy("vm")).To(BeEmpty())
+	b := NewBorrower("vm", "a", plan)
+	g.Expect(b.TakeToken(time.Second, team)).To(BeFalse())
+	g.Expect(b.DueLeaseRequests(time.Second)).To(BeEmpty())
+	g.Expect(b.Exhausted(team, time.Second)).To(BeTrue())
+}
+
 func BenchmarkTakeToken(b *testing.B) {
 	plan := NewPlan(testSet(1000, 47))
 	br := NewBorrower("vm", "a", plan)
