Pause between token requests to a holder without a limit

Seen: while looking for what a late process does when versions arrive. Versions come into force at the nodes one after another. If the holder's version has no limit for a team, or not the team, and the version of another node has one, that node asked the holder again as soon as it had answered, for as long as a request of the team waited for a token.

Cause: such a holder grants no tokens and states no retry time, and the borrower took the missing time for "ask again now".

Fix: after an empty grant the next request follows after minRetryDelay (50 ms) at the earliest. That is already the shortest time that a holder with a limit states.

Test: on the code before, TestEmptyGrantWithoutRetryTimeDelaysNextRequest fails with "Expected <int>: 1 to be zero-valued", the tokens to request at once.

--- a/decision/allowance/allowance.go
+++ b/decision/allowance/allowance.go
@@ -209,10 +209,11 @@
 }
 
 // HandleLeaseAnswer takes the answer to a request for tokens that was sent at the time asked. That a substitute has no
-// tokens does not show that the team is over its limit.
+// tokens does not show that the team is over its limit. A holder whose configuration has no limit for the team, or not
+// the team, grants nothing and states no retry time; it is asked again after minRetryDelay.
 func (b *Borrower) HandleLeaseAnswer(asked time.Duration, granted int, retry time.Duration, substitute bool) {
 	if granted == 0 {
-		b.holderEmptyUntil = asked + retry
+		b.holderEmptyUntil = asked + max(retry, minRetryDelay)
 		if !substitute {
 			b.lastLimitedAt = asked
 		}
--- a/decision/allowance/allowance_test.go
+++ b/decision/allowance/allowance_test.go
@@ -203,3 +203,17 @@
 	granted, _ := b.Lease(time.Minute, "team", testLimit, 6)
 	g.Expect(granted).To(BeZero())
 }
+
+// Guards against requests for tokens without a pause to a holder that grants none and states no retry time, because its
+// version of the configuration has no limit for the team.
+func TestEmptyGrantWithoutRetryTimeDelaysNextRequest(t *testing.T) {
+	g := NewWithT(t)
+	const asked = time.Second
+	granted, retry := NewBuckets().Lease(asked, "red", Limit{}, 1)
+	g.Expect(granted).To(BeZero())
+	var b Borrower
+	b.HandleLeaseAnswer(asked, granted, retry, false)
+	g.Expect(b.TokensToBorrow(asked+minRetryDelay-1, 1)).To(BeZero())
+	g.Expect(b.HolderEmptyFor(asked)).To(Equal(minRetryDelay))
+	g.Expect(b.TokensToBorrow(asked+minRetryDelay, 1)).To(Equal(1))
+}
