--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -281,6 +281,10 @@
 	if c.deadline-now < 2*responseMargin {
 		return true, c.deadlineExceeded()
 	}
+	// The caller may have left before this node read the request, if the process was late, or during an earlier attempt.
+	if !c.caller.Connected() {
+		return true, result{reason: ReasonCallerGone}
+	}
 	if c.attemptsReceived > 0 && !c.takeExtraAttempt(now) {
 		return true, c.noExtraAttempt()
 	}
