--- a/pkg/sidecar/controller.go
+++ b/pkg/sidecar/controller.go
@@ -124,8 +124,11 @@
 
 // reasonOfQueueRefusal returns the Reason for a refusal by the queue.
 func reasonOfQueueRefusal(r slots.RefusalReason) Reason {
-	if r == slots.ReasonTooLate {
+	switch r {
+	case slots.ReasonTooLate:
 		return ReasonDeadlineExceeded
+	case refusalLeaving:
+		return ReasonLeaving
 	}
 	return ReasonOverloaded
 }
@@ -155,7 +158,7 @@
 	if !metadata.idempotent {
 		// A request that may run only once is not cancelled when the caller disconnects, because its outcome would then
 		// be unknown.
-		watch = nil
+		watch = &peer.Watch{Caller: ignoreDisconnect(watch.Caller)}
 	}
 	sent, err := conn.SendWatched(req, resp, until, watch)
 	if sent != peer.ResponseReceived {
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -215,6 +215,10 @@
 
 // handlePeer serves other nodes: requests that they forward, and their messages.
 func (n *Node) handlePeer(ctx *fasthttp.RequestCtx) {
+	if n.controller.leaving.Load() {
+		// The other nodes must not send a request on a connection that is about to be closed.
+		defer ctx.Response.SetConnectionClose()
+	}
 	header := ctx.Request.Header.Peek(hopHeader)
 	if len(header) == 0 {
 		switch string(ctx.Path()) {
@@ -259,11 +263,12 @@
 	}
 	shortened := deadline < arrived+metadata.remaining
 	metadata.remaining = deadline - arrived
-	watch := &peer.Watch{Caller: peer.NewCaller(ctx.Conn()), OnSlow: func() time.Duration {
+	watch := &peer.Watch{Caller: n.newCaller(ctx.Conn()), OnSlow: func() time.Duration {
 		n.announceSlow(ctx)
 		return 0
 	}}
 	a := n.controller.serve(metadata, arrived, &ctx.Request, &ctx.Response, watch)
+	a.reason = n.reasonOfUnfinished(a.reason, a.outcome != outcomeNotRun)
 	if shortened && a.outcome == outcomeUnknown && a.reason == ReasonTimedOut {
 		// The request has time left at its entry node.
 		a.reason = ReasonAnswerLost
@@ -341,6 +346,9 @@
 	u *mesh.Upstream, metadata *requestMetadata, now time.Duration, req *fasthttp.Request, resp *fasthttp.Response, watch *peer.Watch,
 	view *mesh.View, deadline time.Duration,
 ) attemptResult {
+	if n.answersDue() {
+		return attemptResult{outcome: outcomeNotRun, reason: ReasonLeaving}
+	}
 	if own := view.OwnUpstream; own != nil && own.ID == u.ID {
 		return n.controller.serve(metadata, now, req, resp, watch)
 	}
