Scale the reserves of a stop with the grace period

With a grace period of 4 s, a stopping node broke off a request 3.30 s after SIGTERM, before the last sixth of the period, in which that is excused.

Cause: the reserves for the last answers and for the end of the process were constants that fit a grace period of 6 s.

Change: requests are broken off after 0.86 of the period at the earliest, and the process has a fifteenth of it, at most 400 ms, to end. The times for 6 s do not change. TestStopTimesFitGracePeriod checks 3, 4, 6 and 30 s.

--- a/pkg/sidecar/stop.go
+++ b/pkg/sidecar/stop.go
@@ -17,11 +17,15 @@
 	// readiness check runs once a second, and two failures take the node out of use.
 	stopNoticePeriod = 2800 * time.Millisecond
 	// closeReserve is the part of the grace period in which the process ends after its last connection has been closed.
-	closeReserve = 400 * time.Millisecond
+	// Of a short grace period it is maxCloseReserveShare.
+	closeReserve         = 400 * time.Millisecond
+	maxCloseReserveShare = 1.0 / 15
 	// answerReserve is the time before the last connection is closed in which unfinished requests are answered. A
-	// waiting request looks only every callerCheckInterval whether its answer is due. Both reserves together are less
-	// than the sixth of a grace period of 6 s in which the rules of the platform allow a request to be broken off.
+	// waiting request looks only every callerCheckInterval whether its answer is due.
 	answerReserve = 2 * callerCheckInterval
+	// minWorkShare is the share of the grace period in which no request is broken off. The rules of the platform allow
+	// that in the last sixth.
+	minWorkShare = 0.86
 	// stopPollInterval is how often a stopping node checks whether requests are in progress, and closePollInterval how
 	// often it checks whether the last answers have been written.
 	stopPollInterval  = 50 * time.Millisecond
@@ -40,14 +44,20 @@
 	end time.Duration
 }
 
+// newStopTimes returns the times of a stop that starts now, with the given grace period.
+func newStopTimes(now, grace time.Duration) *stopTimes {
+	share := func(f float64) time.Duration { return time.Duration(f * float64(grace)) }
+	end := now + grace - min(closeReserve, share(maxCloseReserveShare))
+	return &stopTimes{started: now, answersDue: max(end-answerReserve, now+share(minWorkShare)), end: end}
+}
+
 // stop ends the work of the servers. The node is not ready from now on but accepts requests for stopNoticePeriod. Then
 // it waits until no connection has a request that was read and not answered, closes the listeners, reads no further
 // requests and writes the remaining answers. When it returns, all connections are closed. releaseBackground is called
 // when the work in the background is no longer needed.
 func (n *Node) stop(servers []*trackedServer, releaseBackground func()) {
 	started := n.o.Clock.Now()
-	end := started + n.o.Settings.StopGracePeriod - closeReserve
-	times := &stopTimes{started: started, answersDue: end - answerReserve, end: end}
+	times := newStopTimes(started, n.o.Settings.StopGracePeriod)
 	n.stopTimes.Store(times)
 	n.stopping.Store(true)
 	n.o.Log.WithFields(n.stopFields()).Info("stopping: the node is no longer ready")
--- a/pkg/sidecar/stop_test.go
+++ b/pkg/sidecar/stop_test.go
@@ -41,6 +41,18 @@
 	NewWithT(m.t).Eventually(func() int { return m.nodes[0].callers.conns.snapshot()[phase] }, 5*time.Second).Should(Equal(1))
 }
 
+// Guards against reserves that take so much of a short grace period that requests are broken off before its last sixth,
+// which the rules of the platform do not excuse, or that leave no time to write the answers and to end the process.
+func TestStopTimesFitGracePeriod(t *testing.T) {
+	for _, grace := range []time.Duration{3 * time.Second, 4 * time.Second, 6 * time.Second, 30 * time.Second} {
+		g := NewWithT(t)
+		times := newStopTimes(time.Hour, grace)
+		g.Expect(times.answersDue).To(BeNumerically(">=", time.Hour+grace*5/6), grace.String())
+		g.Expect(times.end-times.answersDue).To(BeNumerically(">", callerCheckInterval), grace.String())
+		g.Expect(time.Hour+grace-times.end).To(BeNumerically(">=", min(closeReserve, grace/15)), grace.String())
+	}
+}
+
 // Guards against an answer that is cut because its handler has returned: a stopping node must write the answers whose
 // callers read slowly before it closes their connections.
 func TestStoppingNodeWritesWholeAnswers(t *testing.T) {
