Notice that a caller left while its response arrives

What callers and upstreams see: when the caller of an idempotent request disconnected after the first byte of the response, the upstream went on working until the deadline of the request. A response that trickles or never ends kept its slot and its connection for that time.

Cause: Conn.awaitFirstByte checks the caller every CallerCheckInterval, but the rest of the response was read with one read deadline, the one of the request, and nothing looked at the caller any more.

Fix: the reader of the response is wrapped. While a response is read for a caller, a read lasts at most until the next check of the caller, and the check is also made when bytes keep arriving, where a read never times out. The parsers of fasthttp replace some errors of the connection by io.EOF or ErrBrokenChunk, so the wrapper keeps the error, and a passed deadline inside a chunk size line is now reported as one.

Ruled out: another goroutine that closes the connection, which costs one goroutine per request and can close a connection that is already idle again. Requests that may run only once are still not cancelled, as before, because their outcome would then be unknown.

--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -69,11 +69,12 @@
 	unusable bool
 	hello    wire.NodeDescription
 	probe    *socketProbe
+	watch    callerWatch
 }
 
 func newConn(p *Pool, address string, netConn net.Conn) *Conn {
 	c := &Conn{pool: p, address: address, netConn: netConn, probe: newSocketProbe(netConn), keepAlive: p.options.IdleTimeout}
-	c.reader = bufio.NewReaderSize(netConn, readBufferSize)
+	c.reader = bufio.NewReaderSize(responseReader{c}, readBufferSize)
 	c.writer = bufio.NewWriterSize(countingWriter{c}, writeBufferSize)
 	return c
 }
@@ -112,7 +113,7 @@
 			return err
 		}
 	}
-	if err := c.readMatchingResponse(req, resp, maxBodyBytes); err != nil {
+	if err := c.readMatchingResponse(req, resp, deadline, caller, maxBodyBytes); err != nil {
 		return err
 	}
 	c.updateKeepAlive(resp)
@@ -127,11 +128,14 @@
 	return nil
 }
 
-// readMatchingResponse reads responses until one belongs to the request.
-func (c *Conn) readMatchingResponse(req *fasthttp.Request, resp *fasthttp.Response, maxBodyBytes int) error {
+// readMatchingResponse reads responses until one belongs to the request. If caller is not nil, it fails when the caller
+// disconnects.
+func (c *Conn) readMatchingResponse(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, caller Caller, maxBodyBytes int) error {
+	c.watch = callerWatch{caller: caller, deadline: deadline}
+	defer func() { c.watch = callerWatch{} }()
 	for n := 0; ; n++ {
 		if err := readResponse(c.reader, resp, req.Header.IsHead(), maxBodyBytes, c.pool.options.AllowCloseDelimited); err != nil {
-			return err
+			return c.responseError(err)
 		}
 		if c.pool.options.MatchResponse == nil || c.pool.options.MatchResponse(req, resp) {
 			return nil
