Close the connections of a process that is not a node

What was seen: something that listens at the address of a node but is none answers a forwarded request with a response that lacks the header between nodes. The caller got 502, but the connection went back to the pool and stayed open, and the other side could go on sending on it.

Cause: Node.sendAttempt finds out that the header is missing only after Conn.Send has returned the connection to the pool.

Evidence: TestEndlessResponsesFailByTheDeadline against the old code, for 23 kinds of responses without end at once (head, header lines, 1xx, responses to other requests, bodies with a length, until close and in chunks, chunk extensions, trailers; each fast and slow):

TestEndlessResponsesFailByTheDeadline/false_peer endless responses that the upstream still sends Expected <int64>: 1 to be zero-valued

The one left was "slow-other-responses". All others, and all from the upstream itself, met the test already: failure 502 or 504 by the deadline, no 2xx, connection closed, slot free, next request served.

Fix: the idle connections to that address are closed, among them the one that carried the response. The next request opens a new connection.

Ruled out: checking the header in MatchResponse of the pool, because the messages between nodes use the same pool and have no such header.

--- a/pkg/sidecar/endless_test.go
+++ b/pkg/sidecar/endless_test.go
@@ -1,8 +1,13 @@
 package sidecar
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,3 +99,200 @@
 		}
 	}
 }
+
+const (
+	// endlessConnections is the number of endless responses that a node has to bear at once.
+	endlessConnections = 50
+	// maxAnswerDelay is how long after its deadline a request may still be unanswered: the rules of the deployment
+	// count answers that come more than half a second late.
+	maxAnswerDelay = 500 * time.Millisecond
+)
+
+// allowManyRequests lets the upstreams run enough requests for all endless responses and some others.
+func (m *testMesh) allowManyRequests() {
+	view := *m.view.Load()
+	config := *view.Config
+	config.Services = map[string]*mesh.Service{}
+	for name, s := range view.Config.Services {
+		changed := *s
+		changed.MaxConnections = 4 * endlessConnections
+		config.Services[name] = &changed
+	}
+	view.Config = &config
+	list := view.UpstreamsByService[testService]
+	view.UpstreamsByService = map[string][]*mesh.Upstream{}
+	for _, u := range list {
+		changed := *u
+		changed.Slots = 2 * endlessConnections
+		view.UpstreamsByService[testService] = append(view.UpstreamsByService[testService], &changed)
+	}
+	m.view.Store(&view)
+	for i, n := range m.nodes {
+		own := view
+		own.OwnUpstream = view.UpstreamsByService[testService][i]
+		n.UpdateView(&own)
+	}
+}
+
+// endlessResponse is a response that never ends: its first bytes, and then a block of bytes again and again. %ID stands
+// for the headers of a proper response.
+type endlessResponse struct {
+	first, repeated string
+	// pause is the time between two blocks.
+	pause time.Duration
+}
+
+// trickle is the time between two blocks of a slow response. It is much shorter than the deadlines, so that a limit on
+// the time between two bytes does not end the response.
+const trickle = 5 * time.Millisecond
+
+var (
+	megabyte         = strings.Repeat("x", 1<<20)
+	endlessResponses = map[string]endlessResponse{
+		"line":                     {first: "HTTP/1.1 200 OK\r\nA: ", repeated: megabyte},
+		"slow-line":                {first: "HTTP/1.1 200 OK\r\nA: ", repeated: "x", pause: trickle},
+		"headers":                  {first: "HTTP/1.1 200 OK\r\n", repeated: strings.Repeat("A: b\r\n", 1000)},
+		"slow-headers":             {first: "HTTP/1.1 200 OK\r\n", repeated: "A: b\r\n", pause: trickle},
+		"interim":                  {repeated: "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+		"slow-interim":             {repeated: "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", pause: 20 * trickle},
+		"slow-other-responses":     {repeated: "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx", pause: 20 * trickle},
+		"huge-length":              {first: "%IDContent-Length: 1000000000000\r\n\r\n", repeated: megabyte},
+		"slow-length":              {first: "%IDContent-Length: 30000000\r\n\r\n", repeated: "x", pause: trickle},
+		"until-close":              {first: "%ID\r\n", repeated: megabyte},
+		"slow-until-close":         {first: "%ID\r\n", repeated: "x", pause: trickle},
+		"chunks":                   {first: "%IDTransfer-Encoding: chunked\r\n\r\n", repeated: "100000\r\n" + megabyte + "\r\n"},
+		"slow-chunks":              {first: "%IDTransfer-Encoding: chunked\r\n\r\n", repeated: "1\r\nx\r\n", pause: trickle},
+		"huge-chunk":               {first: "%IDTransfer-Encoding: chunked\r\n\r\n1f00000\r\n", repeated: "x", pause: trickle},
+		"chunk-extension":          {first: "%IDTransfer-Encoding: chunked\r\n\r\n1;a=", repeated: megabyte},
+		"slow-chunk-extension":     {first: "%IDTransfer-Encoding: chunked\r\n\r\n1;a=", repeated: "x", pause: trickle},
+		"chunk-extensions":         {first: "%IDTransfer-Encoding: chunked\r\n\r\n", repeated: "1;a=" + megabyte[:1000] + "\r\nx\r\n"},
+		"trailer-line":             {first: "%IDTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: ", repeated: megabyte},
+		"slow-trailer-line":        {first: "%IDTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: ", repeated: "x", pause: trickle},
+		"trailers":                 {first: "%IDTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", repeated: strings.Repeat("A: b\r\n", 1000)},
+		"slow-trailers":            {first: "%IDTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", repeated: "A: b\r\n", pause: trickle},
+		"failure-until-close":      {first: "HTTP/1.1 500 Fault\r\n\r\n", repeated: megabyte},
+		"not-executed-until-close": {first: "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n", repeated: megabyte},
+	}
+)
+
+// writeTo writes the response until the connection is closed. proper holds the headers of a proper response.
+func (r *endlessResponse) writeTo(c net.Conn, proper string) {
+	_, err := c.Write([]byte(strings.ReplaceAll(r.first, "%ID", proper)))
+	for block := []byte(r.repeated); err == nil; {
+		time.Sleep(r.pause)
+		_, err = c.Write(block)
+	}
+}
+
+// serveEndless makes an upstream give the endless responses that the paths of requests name. open counts those whose
+// connection is not closed yet.
+func (u *upstreamStub) serveEndless(open *atomic.Int64) {
+	u.setHandler(func(ctx *fasthttp.RequestCtx) {
+		response, ok := endlessResponses[string(bytes.TrimPrefix(ctx.Path(), []byte("/inner/")))]
+		if !ok {
+			return
+		}
+		open.Add(1)
+		defer open.Add(-1)
+		id := ctx.Request.Header.Peek(headerNames.RequestID)
+		response.writeTo(ctx.Conn(), fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n", headerNames.RequestID, id, headerNames.UpstreamStamp))
+		_ = ctx.Conn().Close()
+	})
+}
+
+// startFalsePeer adds an upstream to the mesh whose node gives the endless responses, and makes it the only one in use.
+func (m *testMesh) startFalsePeer(open *atomic.Int64) {
+	m.t.Helper()
+	view := *m.view.Load()
+	list := view.UpstreamsByService[testService]
+	index := len(list)
+	ip := fmt.Sprintf("%s.%d", strings.TrimSuffix(list[0].IP, ".1"), index+1)
+	view.VMs = append(view.VMs, ip)
+	view.UpstreamsByService = map[string][]*mesh.Upstream{testService: append(list[:index:index], &mesh.Upstream{
+		ID: "false", Service: testService, Address: ip + ":1", IP: ip, DataCentre: "north", Slots: 2 * endlessConnections,
+	})}
+	m.view.Store(&view)
+	m.useOnlyUpstream(index)
+	l, err := net.Listen("tcp4", m.address(index, 1))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(func() { _ = l.Close() })
+	ok := attemptResult{outcome: outcomeRan, reachedUpstream: true}
+	resp := &fasthttp.Response{}
+	ok.setHeader(resp)
+	answer := string(resp.Header.Peek(answerHeader))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				req, r := &fasthttp.Request{}, bufio.NewReader(c)
+				for req.Read(r) == nil {
+					proper := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\n%s: %s\r\n", headerNames.UpstreamStamp, answerHeader, answer)
+					response, endless := endlessResponses[string(bytes.TrimPrefix(req.URI().Path(), []byte("/inner/")))]
+					if !endless {
+						_, _ = c.Write([]byte(proper + "Content-Length: 2\r\n\r\nok"))
+						continue
+					}
+					open.Add(1)
+					response.writeTo(c, proper)
+					open.Add(-1)
+					return
+				}
+			}()
+		}
+	}()
+}
+
+// Guards against responses without end, from the upstream or from something that is not the node that it claims to be,
+// that keep their caller waiting beyond its deadline, look complete, say that the request did not run, or keep the
+// connection or the slot.
+func TestEndlessResponsesFailByTheDeadline(t *testing.T) {
+	const deadline = time.Second
+	for _, sender := range []string{"upstream", "false peer"} {
+		t.Run(sender, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newTestMesh(t, 1, func(r *mesh.Route) { r.MaxAttempts = 1 })
+			m.allowManyRequests()
+			var open atomic.Int64
+			if sender == "upstream" {
+				m.upstreams[0].serveEndless(&open)
+			} else {
+				m.startFalsePeer(&open)
+			}
+			var waiting sync.WaitGroup
+			for name := range endlessResponses {
+				waiting.Go(func() {
+					started := time.Now()
+					resp := m.send(0, withoutKey("/inner/"+name, name, deadline))
+					taken := time.Since(started)
+					if code := resp.StatusCode(); code != fasthttp.StatusBadGateway && code != fasthttp.StatusGatewayTimeout {
+						t.Errorf("%s: status %d", name, code)
+					}
+					if !bytes.Contains(resp.Body(), []byte("remedy")) {
+						t.Errorf("%s: the response does not say what to do: %.100q", name, resp.Body())
+					}
+					if taken > deadline+maxAnswerDelay {
+						t.Errorf("%s: answered after %v with a deadline of %v", name, taken, deadline)
+					}
+				})
+			}
+			waiting.Wait()
+			// A connection that counts as idle would stay open for peerIdleTimeout at least.
+			g.Eventually(open.Load, peerIdleTimeout/2).Should(BeZero(), "endless responses that are still being sent")
+			g.Eventually(func() int { return m.nodes[0].controller.queue.load().Running }, deadline).Should(BeZero())
+			g.Expect(m.nodes[0].inProgress()).To(BeZero())
+			resp := m.send(0, withoutKey("/inner/1", "after", deadline))
+			g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusOK))
+		})
+	}
+}
+
+// withoutKey returns a request on a route without a key, which is not subject to the rate of a team.
+func withoutKey(path, id string, deadline time.Duration) request {
+	return request{method: "GET", path: path, id: id, deadline: deadline, header: map[string]string{headerNames.APIKey: ""}}
+}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -330,6 +330,8 @@
 	}
 	a, err := parseAttemptResult(resp)
 	if err != nil {
+		// Whatever answers there is not a node, so its connections are not used again.
+		n.peerPool.CloseIdleConnectionsTo(u.IP + n.peerPort)
 		return attemptResult{outcome: outcomeUnknown, reason: ReasonAnswerLost, reachedUpstream: true}
 	}
 	removeHopByHopHeaders(resp)
