Bound the memory of all response bodies of a node

What was seen: 50 endless or slow response bodies at once use far more memory than the smallest VMs have (184 MB), and a process that exceeds its memory is killed, with all other requests in it. A response that only announces 30 MB takes 30 MB.

Cause: each body may have MaxResponseBytes (32 MiB) and is held whole; nothing bounds the sum. fasthttp allocates the announced length of a body or chunk before any of it arrives, and a receiver that does not read kept a complete response in memory without a time limit.

Fix: peer.BodyBudget counts the bytes of all bodies that the pools of a node read, beyond the first 64 KiB of each, and those that its servers have not written yet. The sidecar's budget is 25% of the memory of its VM. A body that would exceed the budget fails with ErrBodyBudgetSpent, which callers see as 502, because the request may have run. Buffers grow as bytes arrive and have at most twice their size. The servers get a write timeout of 30 s. Small responses need no budget, so they are still served when it is spent.

A body that has been read is counted again when the server gets it, so for the moment in between the sum can exceed the budget, at most to twice the budget. The old buffer of a body that grows is not counted.

Ruled out: a smaller MaxResponseBytes alone, which would have to be below 1 MB for 50 responses; delivering bodies while they arrive, because a response of another attempt could then no longer replace them.

--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -134,7 +134,7 @@
 	c.watch = callerWatch{caller: caller, deadline: deadline}
 	defer func() { c.watch = callerWatch{} }()
 	for n := 0; ; n++ {
-		if err := readResponse(c.reader, resp, req.Header.IsHead(), maxBodyBytes, c.pool.options.AllowCloseDelimited); err != nil {
+		if err := readResponse(c.reader, resp, req.Header.IsHead(), maxBodyBytes, c.pool.options.AllowCloseDelimited, c.pool.options.BodyBudget); err != nil {
 			return c.responseError(err)
 		}
 		if c.pool.options.MatchResponse == nil || c.pool.options.MatchResponse(req, resp) {
@@ -201,7 +201,7 @@
 
 // readResponse reads the final response and its complete body. Unless allowCloseDelimited is set, it refuses a body
 // that ends with the connection, because such a body may have been cut short.
-func readResponse(r *bufio.Reader, resp *fasthttp.Response, headRequest bool, maxBodyBytes int, allowCloseDelimited bool) error {
+func readResponse(r *bufio.Reader, resp *fasthttp.Response, headRequest bool, maxBodyBytes int, allowCloseDelimited bool, budget *BodyBudget) error {
 	resp.SkipBody = headRequest
 	// The body of an earlier attempt must not remain in a response that has no body.
 	resp.ResetBody()
@@ -223,13 +223,7 @@
 	if resp.Header.ContentLength() == -2 && !allowCloseDelimited {
 		return ErrUndelimitedBody
 	}
-	if err := resp.ReadBody(r, maxBodyBytes); err != nil {
-		return err
-	}
-	if resp.Header.ContentLength() == -1 {
-		return resp.Header.ReadTrailer(r)
-	}
-	return nil
+	return readBody(r, resp, maxBodyBytes, budget)
 }
 
 // socketProbe checks the state of a socket without reading from it. It is not safe for concurrent use.
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -86,6 +86,9 @@
 	// TCPUserTimeout is how long sent bytes may stay unacknowledged before the system closes the connection. Setting it
 	// also enables TCP keep-alive probes every second; 0 leaves both to the system.
 	TCPUserTimeout time.Duration
+	// BodyBudget bounds the bytes of responses that are read at once. Several pools may share it; nil means no bound
+	// besides MaxResponseBytes for each response.
+	BodyBudget *BodyBudget
 }
 
 // Pool holds connections to nodes or to the own upstream. Each connection carries at most one request at a time. A Pool
--- a/pkg/sidecar/controller.go
+++ b/pkg/sidecar/controller.go
@@ -47,11 +47,11 @@
 	requestsInProgress atomic.Int64
 }
 
-func newController(o *Options) *controller {
+func newController(o *Options, budget *peer.BodyBudget) *controller {
 	c := &controller{o: o, queue: newBlockingQueue(o.Clock, 1)}
 	c.pool = peer.NewPool(peer.PoolOptions{
 		Clock: o.Clock, IdleTimeout: upstreamIdleTimeout, MaxConnections: c.maxConnections, MatchResponse: c.isResponseTo, AllowCloseDelimited: true,
-		CallerCheckInterval: callerCheckInterval, TCPUserTimeout: unackedTimeout,
+		CallerCheckInterval: callerCheckInterval, TCPUserTimeout: unackedTimeout, BodyBudget: budget,
 	})
 	c.health = newHealthChecker(o, c.pool, c.queue)
 	return c
--- a/pkg/sidecar/endless_test.go
+++ b/pkg/sidecar/endless_test.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"fmt"
 	"net"
+	"runtime/debug"
+	"runtime/metrics"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -103,6 +105,11 @@
 const (
 	// endlessConnections is the number of endless responses that a node has to bear at once.
 	endlessConnections = 50
+	// smallestMemory is the memory of the smallest VM in bytes, softMemoryPercent the part of it that the command
+	// bamboodeal-sidecar sets as the soft limit of the Go runtime, and collectorPercent its GC percentage.
+	smallestMemory    = 184 << 20
+	softMemoryPercent = 60
+	collectorPercent  = 20
 	// maxAnswerDelay is how long after its deadline a request may still be unanswered: the rules of the deployment
 	// count answers that come more than half a second late.
 	maxAnswerDelay = 500 * time.Millisecond
@@ -296,3 +303,66 @@
 func withoutKey(path, id string, deadline time.Duration) request {
 	return request{method: "GET", path: path, id: id, deadline: deadline, header: map[string]string{headerNames.APIKey: ""}}
 }
+
+// usedMemory returns the memory in bytes that the Go runtime has from the system.
+func usedMemory() uint64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
+}
+
+// Guards against endless or slow bodies that use up the memory of the VM, whether they announce a length or not, and
+// against other requests that fail meanwhile.
+func TestEndlessBodiesLeaveMemoryForOthers(t *testing.T) {
+	const deadline = 3 * time.Second
+	// Bodies of a medium rate stay below all limits on a single body for the whole deadline.
+	block := megabyte[:16<<10]
+	bodies := []endlessResponse{
+		{first: "%IDContent-Length: 30000000\r\n\r\n", repeated: block, pause: trickle},
+		{first: "%IDContent-Length: 30000000\r\n\r\n", repeated: "x", pause: trickle},
+		{first: "%ID\r\n", repeated: block, pause: trickle},
+		{first: "%IDTransfer-Encoding: chunked\r\n\r\n", repeated: "4000\r\n" + block + "\r\n", pause: trickle},
+		{first: "%IDTransfer-Encoding: chunked\r\n\r\n1f00000\r\n", repeated: block, pause: trickle},
+	}
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, func(r *mesh.Route) { r.MaxAttempts, r.Timeout = 1, 2*deadline })
+	m.allowManyRequests()
+	m.upstreams[0].setHandler(func(ctx *fasthttp.RequestCtx) {
+		var i int
+		if _, err := fmt.Sscanf(string(ctx.Path()), "/inner/endless/%d", &i); err != nil {
+			return
+		}
+		id := ctx.Request.Header.Peek(headerNames.RequestID)
+		bodies[i%len(bodies)].writeTo(ctx.Conn(), fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n", headerNames.RequestID, id, headerNames.UpstreamStamp))
+		_ = ctx.Conn().Close()
+	})
+	defer debug.SetGCPercent(debug.SetGCPercent(collectorPercent))
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(smallestMemory * softMemoryPercent / 100))
+	debug.FreeOSMemory()
+	var waiting sync.WaitGroup
+	end := time.Now().Add(deadline)
+	for i := range endlessConnections {
+		waiting.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				resp := m.send(0, withoutKey(fmt.Sprint("/inner/endless/", i), fmt.Sprint("e", i, "-", n), max(time.Until(end), maxAnswerDelay)))
+				if code := resp.StatusCode(); code < fasthttp.StatusInternalServerError {
+					t.Errorf("endless response %d: status %d", i, code)
+				}
+				time.Sleep(trickle)
+			}
+		})
+	}
+	peak, served := uint64(0), 0
+	for ; time.Now().Before(end); served++ {
+		resp := m.send(0, withoutKey("/inner/1", fmt.Sprint("other", served), 2*deadline))
+		if resp.StatusCode() != fasthttp.StatusOK {
+			t.Errorf("request %d: status %d, %s", served, resp.StatusCode(), resp.Body())
+		}
+		peak = max(peak, usedMemory())
+		time.Sleep(trickle)
+	}
+	waiting.Wait()
+	t.Logf("%d other requests served, %d MB of memory in use at the peak", served, peak>>20)
+	g.Expect(served).To(BeNumerically(">", 0))
+	g.Expect(peak).To(BeNumerically("<", uint64(smallestMemory)), "bytes of memory in use at the peak")
+}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -52,6 +52,7 @@
 	retryBudgets       *retryBudgets
 	recorder           *recorder
 	peerPool           *peer.Pool
+	bodyBudget         *peer.BodyBudget
 	peerPort           string
 	requestsInProgress atomic.Int64
 	stopping           atomic.Bool
@@ -73,10 +74,12 @@
 		placementTable: placement.NewTable(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	n.retryBudgets = newRetryBudgets(&n.o)
+	n.bodyBudget = newBodyBudget(&o.Settings)
 	n.peerPool = peer.NewPool(peer.PoolOptions{
 		Clock: o.Clock, IdleTimeout: peerIdleTimeout, CallerCheckInterval: callerCheckInterval, TCPUserTimeout: unackedTimeout,
+		BodyBudget: n.bodyBudget,
 	})
-	n.controller = newController(&n.o)
+	n.controller = newController(&n.o, n.bodyBudget)
 	n.teamLimiter = newTeamLimiter(&n.o, n.peerPool, ip, n.peerPort)
 	return n, nil
 }
@@ -180,10 +183,11 @@
 // newServer returns an HTTP server with the handler, whose idle connections are closed after idle.
 func (n *Node) newServer(handler fasthttp.RequestHandler, idle time.Duration) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                      n.recoverPanics(handler),
+		Handler:                      n.countBodies(n.recoverPanics(handler)),
 		Logger:                       textlessLogger{n.o.Log},
 		ReadBufferSize:               maxHeaderSize,
 		ReadTimeout:                  readTimeout,
+		WriteTimeout:                 writeTimeout,
 		IdleTimeout:                  idle,
 		MaxRequestBodySize:           maxBodySize,
 		DisablePreParseMultipartForm: true,
