Bound health checks and messages between nodes on their own

What was seen: the response to a health check and the answer to a message between nodes were read up to 32 MiB, the bound for responses to requests, although nothing uses the body of a check and messages are small. A compressed message of a few bytes could make the node allocate up to 4 GB, the largest length that s2 can announce.

Cause: both use Conn.Send, which knows one bound only, and s2.Decode allocates the length that its input announces.

Fix: Conn.LimitBody lowers the bound for the next Send. A check accepts 64 KiB, a message 8 MiB, and the announced length of a compressed message is checked before it is decompressed. The contents of the store are far below 8 MiB: one of its values has at most 1 MiB.

Ruled out: another parameter of Conn.Send, which all other callers would have to pass.

--- a/pkg/peer/body.go
+++ b/pkg/peer/body.go
@@ -38,6 +38,9 @@
 // Used returns the number of bytes that are held now.
 func (b *BodyBudget) Used() int64 { return b.used.Load() }
 
+// LimitBody makes the response to the next Send fail if its body is larger than n bytes.
+func (c *Conn) LimitBody(n int) { c.maxBodyBytes = n }
+
 // countedBytes returns the part of a body of n bytes that a budget counts.
 func countedBytes(n int) int64 { return int64(max(0, n-UncountedBodyBytes)) }
 
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -70,6 +70,8 @@
 	hello    wire.NodeDescription
 	probe    *socketProbe
 	watch    callerWatch
+	// maxBodyBytes is the bound of LimitBody, or 0.
+	maxBodyBytes int
 }
 
 func newConn(p *Pool, address string, netConn net.Conn) *Conn {
@@ -131,6 +133,9 @@
 // readMatchingResponse reads responses until one belongs to the request. If caller is not nil, it fails when the caller
 // disconnects.
 func (c *Conn) readMatchingResponse(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, caller Caller, maxBodyBytes int) error {
+	if c.maxBodyBytes > 0 {
+		maxBodyBytes = min(maxBodyBytes, c.maxBodyBytes)
+	}
 	c.watch = callerWatch{caller: caller, deadline: deadline}
 	defer func() { c.watch = callerWatch{} }()
 	for n := 0; ; n++ {
--- a/pkg/sidecar/health.go
+++ b/pkg/sidecar/health.go
@@ -20,6 +20,8 @@
 	recheckInterval = 150 * time.Millisecond
 	// checkTimeout bounds one health check.
 	checkTimeout = time.Second
+	// maxCheckBody is the size in bytes of the largest body of a response to a health check. Only its headers matter.
+	maxCheckBody = 64 << 10
 )
 
 // healthChecker finds out which upstream runs beside the node and for how long it stays cold. The status code of a
@@ -118,6 +120,7 @@
 	until := time.Now().Add(checkTimeout)
 	conn, err := h.pool.Acquire(peer.Target{Address: h.o.Settings.UpstreamAddress}, until, false)
 	if err == nil {
+		conn.LimitBody(maxCheckBody)
 		_, err = conn.Send(req, resp, until, nil)
 	}
 	if err != nil {
--- a/pkg/sidecar/message.go
+++ b/pkg/sidecar/message.go
@@ -20,8 +20,14 @@
 	// compressionThreshold is the size in bytes above which a message between nodes is compressed.
 	compressionThreshold = 512
 	s2Encoding           = "s2"
+	// maxMessageSize is the size in bytes of the largest message between nodes, compressed or not. A message holds at
+	// most all entries of the platform's store; each of these is limited to 1 MiB, and almost all are much smaller.
+	maxMessageSize = 8 << 20
 )
 
+// errMessageTooLarge is the error of a message that is larger than maxMessageSize once it is decompressed.
+var errMessageTooLarge = eris.New("the node's answer is too large when decompressed; run the same release on all nodes")
+
 // postMessage sends a message as JSON to another node and decodes the response into the value that into points to.
 func postMessage(pool *peer.Pool, address, path string, message, into any, timeout time.Duration) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -41,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	conn.LimitBody(maxMessageSize)
 	if _, err := conn.Send(req, resp, until, nil); err != nil {
 		return err
 	}
@@ -49,6 +56,9 @@
 	}
 	answered := resp.Body()
 	if string(resp.Header.ContentEncoding()) == s2Encoding {
+		if size, err := s2.DecodedLen(answered); err == nil && size > maxMessageSize {
+			return errMessageTooLarge
+		}
 		if answered, err = s2.Decode(nil, answered); err != nil {
 			return eris.Wrap(err, "the node's answer cannot be decompressed; run the same release on all nodes")
 		}
