Deliver large error responses instead of holding copies

What was seen: an error response of an upstream is copied and held while another attempt is made.

Evidence: TestLargeFailureIsDeliveredAtOnce against the old code:

Expected <int64>: 2 to equal <int64>: 1

that is, a second upstream ran the request while the first response was held.

Callers see the upstream's own failure, whole, as they do when no other attempt is allowed.

Ruled out: dropping the held response, because an upstream's failure must not be replaced by an error of the node.

--- a/pkg/sidecar/bodies.go
+++ b/pkg/sidecar/bodies.go
@@ -19,6 +19,9 @@
 	// memory limit of the Go runtime is 60%. While a body grows, its old buffer, of up to half the size, is still in
 	// memory, and the rest is for requests and for the state of the node.
 	bodyBudgetPercent = 25
+	// maxHeldFailureBody is the size in bytes of the largest body of an error response that is held while another
+	// attempt is made. The node's budget does not count held responses, so a larger one is delivered at once.
+	maxHeldFailureBody = peer.UncountedBodyBytes
 )
 
 // newBodyBudget returns the budget for all responses that a node reads from its upstream and from other nodes.
--- a/pkg/sidecar/bounds_test.go
+++ b/pkg/sidecar/bounds_test.go
@@ -85,3 +85,26 @@
 	g.Expect(post("/larger")).To(MatchError(peer.ErrResponseTooLarge))
 	g.Expect(post("/larger/compressed")).To(MatchError(errMessageTooLarge))
 }
+
+// Guards against large error responses that are held in memory without a bound while other attempts are made. The
+// upstream's response has to be delivered whole instead.
+func TestLargeFailureIsDeliveredAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	var size atomic.Int64
+	for _, u := range m.upstreams {
+		u.setHandler(func(ctx *fasthttp.RequestCtx) {
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			ctx.SetBody(make([]byte, size.Load()))
+		})
+	}
+	for _, c := range []struct{ bytes, attempts int64 }{{maxHeldFailureBody + 1, 1}, {maxHeldFailureBody, 2}} {
+		size.Store(c.bytes)
+		before := m.runs()
+		resp := m.send(0, request{method: "GET", path: "/read/1", id: "r"})
+		g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusInternalServerError))
+		g.Expect(resp.Header.Peek(headerNames.UpstreamStamp)).NotTo(BeEmpty())
+		g.Expect(int64(len(resp.Body()))).To(Equal(c.bytes))
+		g.Expect(m.runs() - before).To(Equal(c.attempts))
+	}
+}
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -347,7 +347,7 @@
 	switch c.lastResult.outcome {
 	case outcomeRan:
 		if c.route.Idempotent && resp.StatusCode() >= fasthttp.StatusInternalServerError &&
-			resp.StatusCode() != fasthttp.StatusGatewayTimeout && c.canTryAnother() {
+			resp.StatusCode() != fasthttp.StatusGatewayTimeout && len(resp.Body()) <= maxHeldFailureBody && c.canTryAnother() {
 			c.heldFailure = fasthttp.AcquireResponse()
 			resp.CopyTo(c.heldFailure)
 			return false, result{}
