Merge the bounds on response bodies

The wrapped reader of responses checks the watch of an attempt in place of its caller, so that a cancelled attempt also ends while its response arrives, and it covers the interim responses between nodes.

--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -72,11 +72,14 @@
 	unusable bool
 	hello    wire.NodeDescription
 	probe    *socketProbe
+	watch    callerWatch
+	// maxBodyBytes is the bound of LimitBody, or 0.
+	maxBodyBytes int
 }
 
 func newConn(p *Pool, address string, netConn net.Conn) *Conn {
 	c := &Conn{pool: p, address: address, netConn: netConn, probe: newSocketProbe(netConn), keepAlive: p.options.IdleTimeout}
-	c.reader = bufio.NewReaderSize(netConn, readBufferSize)
+	c.reader = bufio.NewReaderSize(responseReader{c}, readBufferSize)
 	c.writer = bufio.NewWriterSize(countingWriter{c}, writeBufferSize)
 	return c
 }
@@ -115,7 +118,7 @@
 			return err
 		}
 	}
-	if err := c.readMatchingResponse(req, resp, maxBodyBytes); err != nil {
+	if err := c.readMatchingResponse(req, resp, deadline, watch, maxBodyBytes); err != nil {
 		return err
 	}
 	c.updateKeepAlive(resp)
@@ -130,11 +133,16 @@
 	return nil
 }
 
-// readMatchingResponse reads responses until one belongs to the request.
-func (c *Conn) readMatchingResponse(req *fasthttp.Request, resp *fasthttp.Response, maxBodyBytes int) error {
+// readMatchingResponse reads responses until one belongs to the request. It fails when the watched caller disconnects.
+func (c *Conn) readMatchingResponse(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, watch *Watch, maxBodyBytes int) error {
+	if c.maxBodyBytes > 0 {
+		maxBodyBytes = min(maxBodyBytes, c.maxBodyBytes)
+	}
+	c.watchReads(watch, deadline)
+	defer c.unwatchReads()
 	for n := 0; ; n++ {
-		if err := readResponse(c.reader, resp, req.Header.IsHead(), maxBodyBytes, c.pool.options.AllowCloseDelimited); err != nil {
-			return err
+		if err := readResponse(c.reader, resp, req.Header.IsHead(), maxBodyBytes, c.pool.options.AllowCloseDelimited, c.pool.options.BodyBudget); err != nil {
+			return c.responseError(err)
 		}
 		if c.pool.options.MatchResponse == nil || c.pool.options.MatchResponse(req, resp) {
 			return nil
@@ -166,11 +174,8 @@
 		if err := c.awaitFirstByte(deadline, watch); err != nil || !watch.SlowOnInterim {
 			return err
 		}
-		statusLine, err := c.reader.Peek(len(interimStatusLine))
-		if err != nil || !bytes.Equal(statusLine, interimStatusLine) {
-			return err
-		}
-		if err := resp.Header.Read(c.reader); err != nil {
+		interim, err := c.readInterim(resp, deadline, watch)
+		if err != nil || !interim {
 			return err
 		}
 		if n >= maxInterimResponses {
@@ -180,6 +185,17 @@
 	}
 }
 
+// readInterim reads the head of the response that has begun to arrive if it is an interim one, and reports whether it is.
+func (c *Conn) readInterim(resp *fasthttp.Response, deadline time.Time, watch *Watch) (bool, error) {
+	c.watchReads(watch, deadline)
+	defer c.unwatchReads()
+	statusLine, err := c.reader.Peek(len(interimStatusLine))
+	if err != nil || !bytes.Equal(statusLine, interimStatusLine) {
+		return false, c.responseError(err)
+	}
+	return true, c.responseError(resp.Header.Read(c.reader))
+}
+
 // awaitFirstByte waits for the first byte of a response. It wakes up every CallerCheckInterval, so that it notices
 // without another goroutine that the caller disconnected or the node stopped running.
 func (c *Conn) awaitFirstByte(deadline time.Time, watch *Watch) error {
@@ -232,7 +248,7 @@
 
 // readResponse reads the final response and its complete body. Unless allowCloseDelimited is set, it refuses a body
 // that ends with the connection, because such a body may have been cut short.
-func readResponse(r *bufio.Reader, resp *fasthttp.Response, headRequest bool, maxBodyBytes int, allowCloseDelimited bool) error {
+func readResponse(r *bufio.Reader, resp *fasthttp.Response, headRequest bool, maxBodyBytes int, allowCloseDelimited bool, budget *BodyBudget) error {
 	resp.SkipBody = headRequest
 	// The body of an earlier attempt must not remain in a response that has no body.
 	resp.ResetBody()
@@ -254,13 +270,7 @@
 	if resp.Header.ContentLength() == -2 && !allowCloseDelimited {
 		return ErrUndelimitedBody
 	}
-	if err := resp.ReadBody(r, maxBodyBytes); err != nil {
-		return err
-	}
-	if resp.Header.ContentLength() == -1 {
-		return resp.Header.ReadTrailer(r)
-	}
-	return nil
+	return readBody(r, resp, maxBodyBytes, budget)
 }
 
 // socketProbe checks the state of a socket without reading from it. It is not safe for concurrent use.
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -86,6 +86,9 @@
 	// TCPUserTimeout is how long sent bytes may stay unacknowledged before the system closes the connection. Setting it
 	// also enables TCP keep-alive probes every second; 0 leaves both to the system.
 	TCPUserTimeout time.Duration
+	// BodyBudget bounds the bytes of responses that are read at once. Several pools may share it; nil means no bound
+	// besides MaxResponseBytes for each response.
+	BodyBudget *BodyBudget
 }
 
 // Pool holds connections to nodes or to the own upstream. Each connection carries at most one request at a time. A Pool
@@ -332,6 +335,7 @@
 // putIdle adds a connection to the idle connections of its address.
 func (p *Pool) putIdle(c *Conn) {
 	c.lastUsed = p.options.Clock.Now()
+	c.maxBodyBytes = 0
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[c.address]
--- a/pkg/sidecar/caller_gone_test.go
+++ b/pkg/sidecar/caller_gone_test.go
@@ -86,19 +86,6 @@
 	}
 }
 
-// useOnlyUpstream takes all upstreams but one out of use.
-func (m *testMesh) useOnlyUpstream(index int) {
-	view := *m.view.Load()
-	list := make([]*mesh.Upstream, 0, len(view.UpstreamsByService[testService]))
-	for i, u := range view.UpstreamsByService[testService] {
-		changed := *u
-		changed.Draining = i != index
-		list = append(list, &changed)
-	}
-	view.UpstreamsByService = map[string][]*mesh.Upstream{testService: list}
-	m.view.Store(&view)
-}
-
 // Guards against sending on a request whose caller left while the request lay unread at a node that was late.
 func TestRequestOfCallerThatLeftIsNotSent(t *testing.T) {
 	for name, upstream := range map[string]int{"own upstream": 0, "upstream of another node": 1} {
--- a/pkg/sidecar/harness_test.go
+++ b/pkg/sidecar/harness_test.go
@@ -301,3 +301,16 @@
 	}
 	return n
 }
+
+// useOnlyUpstream takes all upstreams but one out of use.
+func (m *testMesh) useOnlyUpstream(index int) {
+	view := *m.view.Load()
+	list := make([]*mesh.Upstream, 0, len(view.UpstreamsByService[testService]))
+	for i, u := range view.UpstreamsByService[testService] {
+		changed := *u
+		changed.Draining = i != index
+		list = append(list, &changed)
+	}
+	view.UpstreamsByService = map[string][]*mesh.Upstream{testService: list}
+	m.view.Store(&view)
+}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -49,6 +49,7 @@
 	recorder           *recorder
 	lateness           *latenessMonitor
 	peerPool           *peer.Pool
+	bodyBudget         *peer.BodyBudget
 	peerPort           string
 	requestsInProgress atomic.Int64
 	// sentToNodes is the number of requests that other nodes have at the moment.
@@ -76,10 +77,12 @@
 		placementTable: placement.NewTable(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	n.retryBudgets = newRetryBudgets(&n.o)
+	n.bodyBudget = newBodyBudget(&o.Settings)
 	n.peerPool = peer.NewPool(peer.PoolOptions{
 		Clock: o.Clock, IdleTimeout: peerIdleTimeout, CallerCheckInterval: callerCheckInterval, TCPUserTimeout: unackedTimeout,
+		BodyBudget: n.bodyBudget,
 	})
-	n.controller = newController(&n.o)
+	n.controller = newController(&n.o, n.bodyBudget)
 	n.teamLimiter = newTeamLimiter(&n.o, n.peerPool, ip, n.peerPort)
 	n.lateness = newLatenessMonitor(&n.o, n.recorder.registry, n.inProgress)
 	return n, nil
@@ -172,11 +175,12 @@
 // newServer returns an HTTP server with the handler, whose idle connections are closed after idle.
 func (n *Node) newServer(handler fasthttp.RequestHandler, idle time.Duration) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                      n.recoverPanics(handler),
+		Handler:                      n.countBodies(n.recoverPanics(handler)),
 		ErrorHandler:                 n.handleReadError,
 		Logger:                       textlessLogger{n.o.Log},
 		ReadBufferSize:               maxHeaderSize,
 		ReadTimeout:                  readTimeout,
+		WriteTimeout:                 writeTimeout,
 		IdleTimeout:                  idle,
 		MaxRequestBodySize:           maxBodySize,
 		DisablePreParseMultipartForm: true,
@@ -367,6 +371,8 @@
 	}
 	a, err := parseAttemptResult(resp)
 	if err != nil {
+		// Whatever answers there is not a node, so its connections are not used again.
+		n.peerPool.CloseIdleConnectionsTo(u.IP + n.peerPort)
 		return attemptResult{outcome: outcomeUnknown, reason: ReasonAnswerLost, reachedUpstream: true}
 	}
 	removeHopByHopHeaders(resp)
