Keep SIGHUP from ending a process that starts or stops

A SIGHUP in the first moments of a sidecar, or after its watcher of the settings has ended, had its default action: the process ended, with all its requests. A platform that changes the settings of all VMs while some of them start would see exits.

Cause: the signal was only handled while settings.Watch was running.

Change: the signal is caught from the start of the program on. The settings that apply then are read after that. Not covered: a signal before the program's own code runs.

--- a/cmd/bamboodeal-sidecar/main.go
+++ b/cmd/bamboodeal-sidecar/main.go
@@ -58,6 +58,9 @@
 }
 
 func run(file string) int {
+	// SIGHUP must not end the process while the settings are not watched yet or no longer.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	output := logging.NewAsyncWriter(os.Stdout)
 	defer output.Close()
 	log, err := logging.New(output, "info", nil)
