--- a/pkg/sidecar/hedge_test.go
+++ b/pkg/sidecar/hedge_test.go
@@ -29,6 +29,15 @@
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 }
 
+// awaitCancel works until the sender closes its connection, and reports that, or for 2 s.
+func awaitCancel(ctx *fasthttp.RequestCtx, closed chan<- struct{}) {
+	deadline := time.Now().Add(2 * time.Second)
+	_ = ctx.Conn().SetReadDeadline(deadline)
+	if _, err := ctx.Conn().Read(make([]byte, 1)); err != nil && time.Now().Before(deadline) {
+		closed <- struct{}{}
+	}
+}
+
 // Guards against giving up the attempt of an upstream that is at work, for a retry that the other upstreams refuse: the
 // caller got 502 in place of an answer that was under way, also from a node that was stopping.
 func TestRefusedRetryKeepsSlowAttempt(t *testing.T) {
@@ -76,11 +85,7 @@
 			if runs.Add(1) > 1 {
 				return
 			}
-			deadline := time.Now().Add(2 * time.Second)
-			_ = ctx.Conn().SetReadDeadline(deadline)
-			if _, err := ctx.Conn().Read(make([]byte, 1)); err != nil && time.Now().Before(deadline) {
-				closed <- struct{}{}
-			}
+			awaitCancel(ctx, closed)
 		})
 	}
 	resp := m.send(0, nestedRequest("slow"))
@@ -105,11 +110,7 @@
 				ctx.SetBodyString("first answer")
 				return
 			}
-			deadline := time.Now().Add(2 * time.Second)
-			_ = ctx.Conn().SetReadDeadline(deadline)
-			if _, err := ctx.Conn().Read(make([]byte, 1)); err != nil && time.Now().Before(deadline) {
-				closed <- struct{}{}
-			}
+			awaitCancel(ctx, closed)
 		})
 	}
 	resp := m.send(0, nestedRequest("slow"))
