Count a hedge that is broken off as a run

A request whose first attempt was refused while its hedge was at work could get 503, which promises that it did not run, when the caller's wait ended because the node stopped. Found by reading; only idempotent requests are hedged, so none ran twice against the promise.

Cause: settleHedge set the result of the call to unknown but not mayHaveRun, by which reasonOfUnfinished chooses between 503 and 502. TestUnfinishedHedgeMayHaveRun failed before ("Expected <bool>: false to be true").

--- a/pkg/sidecar/hedge.go
+++ b/pkg/sidecar/hedge.go
@@ -128,6 +128,7 @@
 	}
 	if !c.awaitHedge(h) {
 		h.watch.Cancel()
+		c.mayHaveRun = true
 		c.lastResult = attemptResult{outcome: outcomeUnknown, reason: ReasonCallerGone, reachedUpstream: true}
 		return
 	}
--- a/pkg/sidecar/hedge_test.go
+++ b/pkg/sidecar/hedge_test.go
@@ -118,3 +118,18 @@
 	g.Eventually(closed, 500*time.Millisecond).Should(Receive())
 	g.Eventually(func() int64 { return m.nodes[0].requestsInProgress.Load() }, time.Second).Should(BeZero())
 }
+
+// disconnectedCaller is a caller that has left.
+type disconnectedCaller struct{}
+
+func (disconnectedCaller) Connected() bool { return false }
+
+// Guards against a refusal that claims that the request has not run while a hedge of it may be at work.
+func TestUnfinishedHedgeMayHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, nil)
+	refused := attemptResult{outcome: outcomeNotRun, reason: ReasonUpstreamShed, reachedUpstream: true}
+	c := &call{node: m.nodes[0], caller: disconnectedCaller{}, lastResult: refused, hedge: &hedge{done: make(chan struct{})}}
+	c.settleHedge(&fasthttp.Response{})
+	g.Expect(c.mayHaveRun).To(BeTrue())
+}
