Close idle connections on which bytes arrive

An upstream that sends bytes without end after a complete response kept its idle connection: each request and health check takes the connection that was used last and looks at no other if that one is in order. The bytes that nobody reads count as memory of the VM, and connections past their idle timeout stayed open as well.

Evidence: TestEndlessBytesOnIdleConnectionAreCutOff without the check in Node.Run: the bytes went on for 20 s ("Expected <bool>: false to be true").

Change: every 5 s a node closes the idle connections that it would not use again. One system call for each idle connection; CloseUnusableConnections and Acquire use the same condition.

Ruled out: reading from idle connections, which costs a goroutine for each of them.

--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -170,7 +170,7 @@
 // isUsable reports whether an idle connection can carry a call. It repeats the hello if needEpoch requires it.
 func (p *Pool) isUsable(c *Conn, t Target, deadline time.Time, needEpoch bool) bool {
 	now := p.options.Clock.Now()
-	if now-c.lastUsed >= min(p.options.IdleTimeout, c.keepAlive) || c.reader.Buffered() > 0 || !c.probe.isIdle() {
+	if !c.canStayIdle(now) {
 		return false
 	}
 	if !needEpoch || (c.hello.Epoch != "" && now-c.lastResponse <= maxResponseAge) {
@@ -396,9 +396,14 @@
 
 // closeIdleBefore closes the idle connections that were last used at or before the given time.
 func (h *host) closeIdleBefore(before time.Duration) {
+	h.closeIdle(func(c *Conn) bool { return c.lastUsed <= before })
+}
+
+// closeIdle closes the idle connections that the function selects.
+func (h *host) closeIdle(selected func(*Conn) bool) {
 	kept := h.idle[:0]
 	for _, c := range h.idle {
-		if c.lastUsed > before {
+		if !selected(c) {
 			kept = append(kept, c)
 			continue
 		}
--- a/pkg/sidecar/bodies.go
+++ b/pkg/sidecar/bodies.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -13,6 +14,9 @@
 	// writeTimeout bounds the time in which a receiver has to take a response that is complete at the node, so that a
 	// receiver that does not read does not keep the response in memory.
 	writeTimeout = 30 * time.Second
+	// idleCheckInterval is the time between two checks of the idle connections. Each check costs a system call for each
+	// connection.
+	idleCheckInterval = 5 * time.Second
 	// defaultMemoryLimit is the memory of the smallest VMs in bytes. It is used if the settings give no limit.
 	defaultMemoryLimit = 184 << 20
 	// bodyBudgetPercent is the part of the VM's memory, in percent, that response bodies may use at once. The soft
@@ -36,3 +40,19 @@
 		n.bodyBudget.HoldUntilWritten(&ctx.Response)
 	}
 }
+
+// closeUnusableConnections closes idle connections to the upstream and to other nodes that will not be used again, until
+// ctx ends. Bytes that arrive on them without end would fill the memory of the VM.
+func (n *Node) closeUnusableConnections(ctx context.Context) {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.controller.pool.CloseUnusableConnections()
+			n.peerPool.CloseUnusableConnections()
+		}
+	}
+}
--- a/pkg/sidecar/endless_test.go
+++ b/pkg/sidecar/endless_test.go
@@ -353,3 +353,40 @@
 	g.Expect(served).To(BeNumerically(">", 0))
 	g.Expect(peak).To(BeNumerically("<", uint64(smallestMemory)), "bytes of memory in use at the peak")
 }
+
+// Guards against an idle connection that stays open while bytes without end arrive on it. Requests and health checks use
+// the connection that was used last, and look at no other if that one is in order.
+func TestEndlessBytesOnIdleConnectionAreCutOff(t *testing.T) {
+	t.Parallel()
+	const floodInterval, floodTime = 10 * time.Millisecond, 4 * idleCheckInterval
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, nil)
+	floodedIsIdle, otherIsIdle := make(chan struct{}), make(chan struct{})
+	cutOff := make(chan bool, 1)
+	m.upstreams[0].setHandler(func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/inner/other" {
+			<-floodedIsIdle
+			return
+		}
+		writeHead(ctx, "Content-Length: 2\r\n")
+		_, _ = ctx.Conn().Write([]byte("ok"))
+		<-otherIsIdle
+		for start := time.Now(); time.Since(start) < floodTime; time.Sleep(floodInterval) {
+			if _, err := ctx.Conn().Write([]byte("x")); err != nil {
+				cutOff <- true
+				return
+			}
+		}
+		cutOff <- false
+		_ = ctx.Conn().Close()
+	})
+	var sending sync.WaitGroup
+	sending.Go(func() { m.send(0, nestedCall("/inner/other", "other", 5*time.Second)) })
+	g.Eventually(m.upstreams[0].runs.Load, 5*time.Second).Should(Equal(int64(1)))
+	resp := m.send(0, nestedCall("/inner/flooded", "flooded", 5*time.Second))
+	g.Expect(string(resp.Body())).To(Equal("ok"))
+	close(floodedIsIdle)
+	sending.Wait()
+	close(otherIsIdle)
+	g.Eventually(cutOff, 2*floodTime).Should(Receive(BeTrue()))
+}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -159,6 +159,7 @@
 	var group conc.WaitGroup
 	group.Go(func() { n.controller.health.run(background) })
 	group.Go(func() { n.lateness.run(background) })
+	group.Go(func() { n.closeUnusableConnections(background) })
 	for _, s := range servers {
 		group.Go(func() {
 			if err := s.Serve(s.listener); err != nil {
