Keep a hedge's answer that comes between two looks

Callers may get 502 (caller_gone) for an idempotent request although its hedge has a complete answer, and the first upstream, which is at work, is cancelled.

Cause: the first attempt wakes up when it is to look at the hedge again, reads that it was not cancelled, checks the caller's socket and then calls hedgeSlowAttempt. A hedge that ends in between has cancelled the attempt, but hedgeSlowAttempt took it for one without an answer, absorbed it, and could even start another hedge. The cancelled attempt then looked as if the caller had left.

The test holds the check of the caller until the hedge has ended.

Fix: hedgeSlowAttempt leaves a hedge with an answer in place. It has cancelled the first attempt before it ends, so that attempt ends now and settleHedge takes the answer.

--- a/pkg/sidecar/hedge.go
+++ b/pkg/sidecar/hedge.go
@@ -43,6 +43,10 @@
 	if c.hedge != nil {
 		select {
 		case <-c.hedge.done:
+			if c.hedge.hasAnswer() {
+				// It has cancelled this attempt, and settleHedge takes its answer.
+				return 0
+			}
 			c.absorbHedge()
 		default:
 			return hedgeRetryDelay
--- a/pkg/sidecar/hedge_test.go
+++ b/pkg/sidecar/hedge_test.go
@@ -117,3 +117,48 @@
 	g.Eventually(closed, 500*time.Millisecond).Should(Receive())
 	g.Eventually(func() int64 { return m.nodes[0].requestsInProgress.Load() }, time.Second).Should(BeZero())
 }
+
+// callerThatAwaitsHedge is a caller whose check ends when the hedge of its call has ended.
+type callerThatAwaitsHedge struct{ call *call }
+
+func (a *callerThatAwaitsHedge) Connected() bool {
+	if h := a.call.hedge; h != nil {
+		<-h.done
+	}
+	return true
+}
+
+// Guards against an error for the caller of a request whose hedge has an answer: the hedge ended between two looks of
+// the first attempt, and the call dropped it as one without an answer.
+func TestHedgeThatEndsDuringCallerCheckIsKept(t *testing.T) {
+	for entry := range 2 {
+		t.Run(fmt.Sprint("entry ", entry), func(t *testing.T) {
+			g := NewWithT(t)
+			m := newTestMesh(t, 2, nil)
+			m.warmUp()
+			var runs atomic.Int64
+			for _, u := range m.upstreams {
+				u.setHandler(func(ctx *fasthttp.RequestCtx) {
+					if runs.Add(1) == 1 {
+						time.Sleep(slowAttempt)
+						return
+					}
+					// The first attempt looks at the hedge again after hedgeRetryDelay.
+					time.Sleep(hedgeRetryDelay + hedgeRetryDelay/2)
+					ctx.SetBodyString("answer of the hedge")
+				})
+			}
+			n := m.nodes[entry]
+			req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+			req.SetRequestURI("/inner/1")
+			req.Header.SetHost("shop")
+			req.Header.Set(headerNames.RequestID, "slow")
+			c := &call{node: n, arrived: n.o.Clock.Now(), view: n.o.View()}
+			g.Expect(c.prepare(req).reason).To(Equal(ReasonNone))
+			c.caller = &callerThatAwaitsHedge{c}
+			r := c.runAttempts(req, resp)
+			g.Expect(string(r.reason)).To(BeEmpty())
+			g.Expect(string(resp.Body())).To(Equal("answer of the hedge"))
+		})
+	}
+}
