Don't retry at the upstream of a failed hedge

A request whose first attempt and hedge both failed could be sent to the upstream of the hedge again, although another upstream had not received it. An upstream that fails every request then takes the last attempt that the route and the retry budget allow, and the caller gets its failure.

Cause: runAttempts goes through the candidates in the order in which they were ranked at the start and did not skip those that hedges had reached. hasOtherUpstream counts only upstreams without the request, so the retry was allowed because of the third upstream and made at the second one.

Evidence: TestRetryAvoidsUpstreamOfHedge on, 2 of 2 runs, in the first of 5 rounds: "round 0, upstream 1 Expected <int64>: 2 to equal <int64>: 1".

Fix: upstreams that received the request are skipped. Without hedges, each candidate is asked once in this loop anyway.

Runs: the test 5 of 5 with the race detector.

--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -219,6 +219,10 @@
 		if c.nodesAsked >= maxNodesAsked {
 			break
 		}
+		if c.reachedUpstreams[u.ID] {
+			// It received the request as a hedge.
+			continue
+		}
 		if wait, known := c.node.recentlyRefused(u.ID, c.priority); known {
 			rememberRefusal(u, wait)
 			continue
--- a/pkg/sidecar/hedge_test.go
+++ b/pkg/sidecar/hedge_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
+
+	"github.com/bamboodeal/bamboodeal/pkg/mesh"
 )
 
 // slowAttempt is much longer than the hedge delay of a route whose requests take a few milliseconds.
@@ -162,3 +164,32 @@
 		})
 	}
 }
+
+// Guards against the last allowed attempt being made at an upstream that failed the request as a hedge, while another
+// upstream has not received it.
+func TestRetryAvoidsUpstreamOfHedge(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 3, func(r *mesh.Route) { r.MaxAttempts, r.Timeout = 3, 4*time.Second })
+	m.warmUp()
+	// The order of the candidates is random in part.
+	for round := range 5 {
+		var runs atomic.Int64
+		var before [3]int64
+		for i, u := range m.upstreams {
+			before[i] = u.runs.Load()
+			u.setHandler(func(ctx *fasthttp.RequestCtx) {
+				if runs.Add(1) <= 2 {
+					time.Sleep(slowAttempt)
+					ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+				}
+			})
+		}
+		resp := m.send(0, nestedRequest(fmt.Sprint("slow", round)))
+		g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusOK))
+		for i, u := range m.upstreams {
+			g.Expect(u.runs.Load()-before[i]).To(Equal(int64(1)), "round %d, upstream %d", round, i)
+			u.setHandler(nil)
+		}
+		m.warmUp()
+	}
+}
