Look at the caller before waiting for a hedge

A request with a hedge, at work when a node reaches answersDue, gets its answer up to 300 ms later, which is all the time until the connections are closed (220 ms with a grace period of 3 s). A late process then cuts the connection without an answer. For the same reason the upstream of a hedge works up to 150 ms longer after a caller has left.

Cause: the first attempt notices within callerCheckInterval that it is to end, and awaitHedge then waited for another whole interval before it looked.

Fix: awaitHedge takes a hedge that has ended, then looks at the caller, and only then waits.

--- a/pkg/sidecar/hedge.go
+++ b/pkg/sidecar/hedge.go
@@ -148,13 +148,18 @@
 	check := time.NewTicker(callerCheckInterval)
 	defer check.Stop()
 	for {
+		select {
+		case <-h.done:
+			return true
+		default:
+		}
+		if !c.caller.Connected() {
+			return false
+		}
 		select {
 		case <-h.done:
 			return true
 		case <-check.C:
-			if !c.caller.Connected() {
-				return false
-			}
 		}
 	}
 }
--- a/pkg/sidecar/hedge_test.go
+++ b/pkg/sidecar/hedge_test.go
@@ -193,3 +193,21 @@
 		m.warmUp()
 	}
 }
+
+// disconnectedCaller is a caller that has left, or whose request has to be answered because the node stops.
+type disconnectedCaller struct{}
+
+func (disconnectedCaller) Connected() bool { return false }
+
+// Guards against a request with a hedge that waits two check intervals for its answer at the end of a stop, which is
+// all the time that the node has then, and against the answer of a hedge that is dropped at that moment.
+func TestHedgeIsNotAwaitedWithoutCaller(t *testing.T) {
+	g := NewWithT(t)
+	c := &call{caller: disconnectedCaller{}}
+	running, ended := &hedge{done: make(chan struct{})}, &hedge{done: make(chan struct{})}
+	close(ended.done)
+	started := time.Now()
+	g.Expect(c.awaitHedge(running)).To(BeFalse())
+	g.Expect(time.Since(started)).To(BeNumerically("<", callerCheckInterval/2))
+	g.Expect(c.awaitHedge(ended)).To(BeTrue())
+}
