Don't take a broken connection for a passed deadline

A caller gets 504 long before its deadline, and its idempotent request is not sent to another upstream, when the connection to another node or to the upstream goes silent and the system gives it up (TCP_USER_TIMEOUT of 1.5 s, keep-alive probes).

Cause: the system then reports ETIMEDOUT, whose Timeout method returns true, so sendErrorResult and sendFailure took it for the deadline of the request. A request that timed out is not sent again.

Fix: only os.ErrDeadlineExceeded, the error of the connection's own deadline, means that the deadline passed. The pool still treats both as a sign that other idle connections to the address do not work.

--- a/pkg/sidecar/controller.go
+++ b/pkg/sidecar/controller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -189,7 +190,7 @@
 		return attemptResult{outcome: outcomeNotRun, reason: ReasonUnreachable}
 	case errors.Is(err, peer.ErrCallerGone):
 		return attemptResult{outcome: outcomeUnknown, reason: ReasonCallerGone, reachedUpstream: true}
-	case peer.IsTimeout(err):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return attemptResult{outcome: outcomeUnknown, reason: ReasonTimedOut, reachedUpstream: true}
 	}
 	c.health.reportBrokenConnection(err)
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"time"
 
@@ -378,7 +379,7 @@
 		return attemptResult{outcome: outcomeUnknown, reason: ReasonCallerGone, reachedUpstream: true}
 	case sent == peer.NotSent:
 		return attemptResult{outcome: outcomeNotRun, reason: ReasonUnreachable}
-	case peer.IsTimeout(err):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return attemptResult{outcome: outcomeUnknown, reason: ReasonTimedOut, reachedUpstream: true}
 	}
 	return attemptResult{outcome: outcomeUnknown, reason: ReasonAnswerLost, reachedUpstream: true}
