Test that a call at a stopping node is awaited (fails)

An idempotent call of bamboodeald is given up while the upstream of another node is at work on it, once that node has closed its listener because it stops. The entry node then needs a retry, and without one the caller gets 502.

Cause: Conn.awaitFirstByte takes a node for unresponsive when the hello on a new connection fails (Pool.isResponding). A refused connection shows that the machine answers; a node that stops refuses new connections and still answers its calls.

Evidence: TestCallAtStoppingNodeIsAwaited, 3 of 3 runs: "the node does not answer; check that it runs" 0.2 s after the call was sent.

Not fixed here. To take ECONNREFUSED as a sign of life would make calls wait until their deadline after a power cycle of the other machine, whose system knows nothing of the old connection. bamboodeal-sidecar sends no hello and is not affected.

--- a/pkg/peer/pool_test.go
+++ b/pkg/peer/pool_test.go
@@ -145,3 +145,40 @@
 	g.Expect(err).To(MatchError(ErrWrongUpstream))
 	g.Expect(p.OpenConnections()).To(BeZero())
 }
+
+// connectedCaller is a caller that stays connected.
+type connectedCaller struct{}
+
+func (connectedCaller) Connected() bool { return true }
+
+// Guards against giving up a call at which a stopping node is at work: the node has closed its listener, so that the
+// hello on a new connection fails, but it still answers the calls that it has.
+func TestCallAtStoppingNodeIsAwaited(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	begun := make(chan struct{})
+	server := &fasthttp.Server{CloseOnShutdown: true, Handler: func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == wire.PathHello {
+			writeJSON(ctx, wire.NodeDescription{Upstream: "u", State: wire.StateServing, Epoch: "e"})
+			return
+		}
+		close(begun)
+		time.Sleep(3 * firstNodeCheckDelay)
+		ctx.SetBodyString("answer")
+	}}
+	go func() { _ = server.Serve(l) }()
+	go func() {
+		<-begun
+		_ = server.Shutdown()
+	}()
+	p := NewPool(PoolOptions{Clock: &manualClock{}, SendHello: true})
+	deadline := time.Now().Add(5 * time.Second)
+	c, err := p.Acquire(Target{Address: l.Addr().String(), Upstream: "u"}, deadline, false)
+	g.Expect(err).NotTo(HaveOccurred())
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI("http://a/x")
+	_, err = c.Send(req, resp, deadline, connectedCaller{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(resp.Body())).To(Equal("answer"))
+}
