--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"time"
 
@@ -219,6 +220,10 @@
 		if c.nodesAsked >= maxNodesAsked {
 			break
 		}
+		if c.reachedUpstreams[u.ID] {
+			// It received the request as a hedge.
+			continue
+		}
 		if wait, known := c.node.recentlyRefused(u.ID, c.priority); known {
 			rememberRefusal(u, wait)
 			continue
@@ -374,7 +379,7 @@
 		return attemptResult{outcome: outcomeUnknown, reason: ReasonCallerGone, reachedUpstream: true}
 	case sent == peer.NotSent:
 		return attemptResult{outcome: outcomeNotRun, reason: ReasonUnreachable}
-	case peer.IsTimeout(err):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return attemptResult{outcome: outcomeUnknown, reason: ReasonTimedOut, reachedUpstream: true}
 	}
 	return attemptResult{outcome: outcomeUnknown, reason: ReasonAnswerLost, reachedUpstream: true}
--- a/pkg/sidecar/hedge.go
+++ b/pkg/sidecar/hedge.go
@@ -43,6 +43,10 @@
 	if c.hedge != nil {
 		select {
 		case <-c.hedge.done:
+			if c.hedge.hasAnswer() {
+				// It has cancelled this attempt, and settleHedge takes its answer.
+				return 0
+			}
 			c.absorbHedge()
 		default:
 			return hedgeRetryDelay
@@ -145,13 +149,18 @@
 	check := time.NewTicker(callerCheckInterval)
 	defer check.Stop()
 	for {
+		select {
+		case <-h.done:
+			return true
+		default:
+		}
+		if !c.caller.Connected() {
+			return false
+		}
 		select {
 		case <-h.done:
 			return true
 		case <-check.C:
-			if !c.caller.Connected() {
-				return false
-			}
 		}
 	}
 }
