Give the tests of the node addresses that other processes don't use

Cause: freeAddress finds a free port of 127.0.0.1 and releases it; the node listens on it later. In between, the port had been taken. Outgoing connections of all processes on the machine get their ports from the same range on that IP.

Change: the test listens on a loopback IP that is derived from the process's ID, so no outgoing connection has it. What the test checks does not change. The clash itself was not brought about on purpose, since that would take the ports of the soak that was running.

--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,8 +44,12 @@
 	return true
 }
 
+// freeAddress returns a free address on a loopback IP that belongs to this process. On 127.0.0.1 the port may be taken by
+// an outgoing connection of another process before the test listens on it.
 func freeAddress(g *WithT) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	const byteMask = 0xff
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&0x3f, pid>>8&byteMask, pid&byteMask))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
