--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -18,7 +18,7 @@
 	ErrUnknownService = eris.New("a route leads to a service that the configuration does not declare; declare the service")
 	ErrNoDestination  = eris.New("a route needs a service with a positive weight and none with a negative one; correct the weights")
 	ErrSharedKey      = eris.New("two teams hold the same key; give each team its own")
-	ErrInvalidRoute   = eris.New("a route needs a path prefix that begins and ends with a slash, a timeout and at least one attempt; complete the route")
+	ErrInvalidRoute   = eris.New("a route needs a path prefix that begins and ends with a slash, a timeout, at least one attempt and a kind; complete the route")
 )
 
 // Config is one version of the operators' configuration. It is immutable once NewConfig has returned it.
@@ -28,6 +28,7 @@
 	Teams    []*Team
 	Routes   []*Route
 
+	unknownKinds []*Route
 	routesByHost map[string][]*Route
 	teamsByKey   map[string]*Team
 	teamsByName  map[string]*Team
@@ -54,6 +55,10 @@
 	PathPrefix string
 	// Idempotent means that a request of the route may run more than once.
 	Idempotent bool
+	// UnknownKind is the kind of the route as the operators wrote it if this release does not know it, or empty. Such a
+	// route is not idempotent: the strictest handling is right for every kind, while refusing the whole configuration
+	// for it would leave a starting mesh without one.
+	UnknownKind string
 	// Timeout is the longest time that a caller waits for the answer to a request.
 	Timeout time.Duration
 	// Objective is the latency objective, counted from the caller's first attempt.
@@ -110,6 +115,9 @@
 		if err := c.validateRoute(r); err != nil {
 			return nil, eris.Wrapf(err, "route %s", r.Name)
 		}
+		if r.UnknownKind != "" {
+			c.unknownKinds = append(c.unknownKinds, r)
+		}
 		host := strings.ToLower(r.Host)
 		c.routesByHost[host] = append(c.routesByHost[host], r)
 	}
@@ -120,7 +128,8 @@
 }
 
 func (c *Config) validateRoute(r *Route) error {
-	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") || r.Timeout <= 0 || r.MaxAttempts < 1 {
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") || r.Timeout <= 0 || r.MaxAttempts < 1 ||
+		(r.Idempotent && r.UnknownKind != "") {
 		return ErrInvalidRoute
 	}
 	total := 0.0
@@ -157,6 +166,9 @@
 	return nil
 }
 
+// RoutesOfUnknownKind returns the routes whose kind this release does not know.
+func (c *Config) RoutesOfUnknownKind() []*Route { return c.unknownKinds }
+
 // TeamByName returns the team with the given name, or nil.
 func (c *Config) TeamByName(name string) *Team { return c.teamsByName[name] }
 
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -355,11 +355,23 @@
 		fields["evacuated"] = next.EvacuatedDataCentres
 	}
 	s.options.Log.WithFields(fields).Info("adopted a new view of the mesh")
-	if next.Config != last.Config && last.Config != nil {
+	if next.Config == last.Config {
+		return
+	}
+	s.logUnknownKinds(next.Config)
+	if last.Config != nil {
 		s.logLimitChanges(last.Config, next.Config)
 	}
 }
 
+// logUnknownKinds logs each route whose kind this release does not know.
+func (s *Syncer) logUnknownKinds(c *Config) {
+	for _, r := range c.RoutesOfUnknownKind() {
+		s.options.Log.WithFields(logrus.Fields{"version": c.Version, "route": r.Name, "route_kind": r.UnknownKind}).
+			Error("this release does not know the kind of a route; its requests run at most once; upgrade the node or correct the route")
+	}
+}
+
 // logLimitChanges logs each team whose limit differs between two versions.
 func (s *Syncer) logLimitChanges(last, next *Config) {
 	for _, team := range next.Teams {
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -28,7 +28,11 @@
 func (n *Node) serveMetrics(ctx *fasthttp.RequestCtx) {
 	load := n.controller.queue.load()
 	servers := [...]*trackedServer{n.callers, n.peers}
-	const nodeLineCount = 5 + len(servers)*int(phaseCount)
+	unknownKinds := 0
+	if config := n.o.View().Config; config != nil {
+		unknownKinds = len(config.RoutesOfUnknownKind())
+	}
+	const nodeLineCount = 6 + len(servers)*int(phaseCount)
 	lines := make([]string, 0, nodeLineCount)
 	lines = append(lines,
 		fmt.Sprintf("%squeue_running %d", metricPrefix, load.Running),
@@ -36,6 +40,7 @@
 		fmt.Sprintf("%squeue_slots %d", metricPrefix, load.Slots),
 		fmt.Sprintf("%ssent_to_nodes %d", metricPrefix, n.sentToNodes.Load()),
 		fmt.Sprintf("%sstore_age_seconds %.3f", metricPrefix, n.o.StoreAge().Seconds()),
+		fmt.Sprintf("%sroutes_of_unknown_kind %d", metricPrefix, unknownKinds),
 	)
 	for _, s := range servers {
 		for phase, count := range s.conns.snapshot() {
--- a/pkg/sidecar/node_test.go
+++ b/pkg/sidecar/node_test.go
@@ -307,3 +307,27 @@
 	refusals := strings.Count(m.logs.String(), `"outcome":"not_run"`) + strings.Count(m.logs.String(), "did not answer a forwarded request")
 	g.Expect(refusals).To(BeNumerically("<=", 40), "refusals of 40 requests by 4 upstreams")
 }
+
+// Guards against running a request of a route of unknown kind twice, which the decoding of its kind cannot show: its
+// answer is lost after it ran, or comes late, and no other upstream gets it.
+func TestRequestOfUnknownKindRunsOnce(t *testing.T) {
+	for name, serve := range map[string]func(ctx *fasthttp.RequestCtx){
+		"answer lost": func(ctx *fasthttp.RequestCtx) { _ = ctx.Conn().Close() },
+		"failure":     func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusInternalServerError) },
+		"slow":        func(*fasthttp.RequestCtx) { time.Sleep(time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newTestMesh(t, 2, func(r *mesh.Route) {
+				if r.Name == "write" {
+					r.UnknownKind = "sometimes"
+				}
+			})
+			for _, u := range m.upstreams {
+				u.setHandler(serve)
+			}
+			m.send(0, request{method: "GET", path: "/write/1", id: "w"})
+			g.Expect(m.runs()).To(Equal(int64(1)))
+		})
+	}
+}
