Run the requests of a caller's connection side by side and bound request bodies

Cause: the HTTP library's server handles the requests of a connection one by one, so pipelined requests waited for the ones before them, and it reads whole bodies, up to 64 MB each and without a bound on their sum, before a handler can refuse them. A look at the socket for a caller's departure saw the bytes of the next request instead of the end behind them.

Change: pkg/sidecar reads connections itself (the library still parses). decision/pipeline decides which requests of a connection start, which response is written next and which one announces the close; at most 16 of a connection and 1,024 of a node beyond the first. A request that may run only once runs alone on its connection. Memory of request bodies is bounded to 15% of the VM's (responses: 20%, was 25%); what does not fit is refused with 503 before its body is read, and the body is discarded so that the refusal arrives. A body has to arrive before its caller's deadline (408 otherwise). The end behind unread bytes is found with POLLRDHUP. Other nodes' connections use the same code, one request at a time.

TestConnectionPhasesAreCounted released one of two requests through a shared channel and relied on their running one by one; it now releases each by its ID. The assertions are the same.

Against the library's server the new tests do not pass: that run hung in the first of them and was ended after 140 s.

--- a/pkg/peer/body.go
+++ b/pkg/peer/body.go
@@ -15,6 +15,9 @@
 	// smaller, so other responses still arrive when large or endless ones have used up the budget. Together with the
 	// limits on connections it bounds the uncounted memory: 64 KiB x 128 connections are 8 MiB.
 	UncountedBodyBytes = 64 << 10
+	// UncountedRequestBytes is the same part of each request body. It is smaller, because the callers of a node may have
+	// thousands of connections.
+	UncountedRequestBytes = 8 << 10
 	// firstBufferBytes is the size in bytes of the first buffer for a body of unknown length.
 	firstBufferBytes = 4 << 10
 )
@@ -41,9 +44,15 @@
 // LimitBody makes the response to the next Send fail if its body is larger than n bytes.
 func (c *Conn) LimitBody(n int) { c.maxBodyBytes = n }
 
-// countedBytes returns the part of a body of n bytes that a budget counts.
+// countedBytes returns the part of a response body of n bytes that a budget counts.
 func countedBytes(n int) int64 { return int64(max(0, n-UncountedBodyBytes)) }
 
+// fits reports whether the budget allows n more bytes now.
+func (b *BodyBudget) fits(n int64) bool { return b == nil || b.used.Load()+n <= b.limit }
+
+// Release counts n bytes of a body that ReadBody has read as no longer held.
+func (b *BodyBudget) Release(n int64) { b.release(n) }
+
 // tryTake counts n more bytes as held and reports whether the budget allows that.
 func (b *BodyBudget) tryTake(n int64) bool {
 	if b == nil || n == 0 {
@@ -138,46 +147,67 @@
 	return nil
 }
 
-// readBodyInto reads a body of length bytes, or up to the end of src if length is -1, and makes it the body of resp. The
-// buffer is at most twice as large as what has arrived.
+// readBodyInto reads a body of length bytes, or up to the end of src if length is -1, and makes it the body of resp.
 func readBodyInto(resp *fasthttp.Response, src io.Reader, length, maxBytes int, budget *BodyBudget) error {
+	body, counted, err := readGrowing(src, length, maxBytes, UncountedBodyBytes, budget)
+	budget.release(counted)
+	if err == nil {
+		resp.SetBodyRaw(body)
+	}
+	return err
+}
+
+// ReadBody reads the body of a request, of length bytes or up to the end of src if length is -1. counted is the part of
+// it that the budget counts until the caller of ReadBody releases it, also after an error. If the body does not fit into
+// the budget, the error is ErrBodyBudgetSpent and body holds what was read of it, which is nothing if the length shows
+// that it does not fit. A body of more than maxBytes fails with ErrResponseTooLarge.
+func ReadBody(src io.Reader, length, maxBytes int, budget *BodyBudget) (body []byte, counted int64, err error) {
+	if length > UncountedRequestBytes && !budget.fits(int64(length-UncountedRequestBytes)) {
+		return nil, 0, ErrBodyBudgetSpent
+	}
+	if length >= 0 {
+		maxBytes = length
+	}
+	return readGrowing(src, length, maxBytes, UncountedRequestBytes, budget)
+}
+
+// readGrowing reads a body into a buffer that is at most twice as large as what has arrived, and counts all but the first
+// uncounted bytes of the buffer in the budget.
+func readGrowing(src io.Reader, length, maxBytes, uncounted int, budget *BodyBudget) (body []byte, counted int64, err error) {
 	size := min(firstBufferBytes, maxBytes)
 	if length >= 0 {
-		size = min(length, UncountedBodyBytes)
+		size = min(length, uncounted)
 	}
-	body := make([]byte, 0, size)
-	counted := int64(0)
-	defer func() { budget.release(counted) }()
+	body = make([]byte, 0, size)
 	for len(body) != length {
 		if len(body) == cap(body) {
 			if len(body) == maxBytes {
-				return expectEnd(resp, src, body)
+				return body, counted, expectEnd(src)
 			}
 			size = min(2*cap(body), maxBytes)
-			if !budget.tryTake(countedBytes(size) - counted) {
-				return ErrBodyBudgetSpent
+			more := max(0, int64(size-uncounted)) - counted
+			if !budget.tryTake(more) {
+				return body, counted, ErrBodyBudgetSpent
 			}
-			counted = countedBytes(size)
+			counted += more
 			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := src.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case errors.Is(err, io.EOF) && length >= 0 && len(body) != length:
-			return io.ErrUnexpectedEOF
+			return body, counted, io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
-			resp.SetBodyRaw(body)
-			return nil
+			return body, counted, nil
 		case err != nil:
-			return err
+			return body, counted, err
 		}
 	}
-	resp.SetBodyRaw(body)
-	return nil
+	return body, counted, nil
 }
 
-// expectEnd makes body, which has the largest accepted size, the body of resp if src has no more bytes.
-func expectEnd(resp *fasthttp.Response, src io.Reader, body []byte) error {
+// expectEnd fails if src has more bytes.
+func expectEnd(src io.Reader) error {
 	var next [1]byte
 	for {
 		n, err := src.Read(next[:])
@@ -185,7 +215,6 @@
 		case n > 0:
 			return ErrResponseTooLarge
 		case errors.Is(err, io.EOF):
-			resp.SetBodyRaw(body)
 			return nil
 		case err != nil:
 			return err
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/bamboodeal/bamboodeal/api/wire"
 )
@@ -291,6 +292,8 @@
 	idle bool
 	// open is true when the other side has not closed the connection, or bytes wait to be read.
 	open bool
+	// closedBehindBytes is true when the other side has closed the connection and bytes wait to be read before its end.
+	closedBehindBytes bool
 }
 
 func newSocketProbe(c net.Conn) *socketProbe {
@@ -305,11 +308,21 @@
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		noData := errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
 		p.idle = noData
-		p.open = noData || (err == nil && n > 0)
+		hasBytes := err == nil && n > 0
+		p.open = noData || hasBytes
+		p.closedBehindBytes = hasBytes && isHungUp(fd)
 	}
 	return p
 }
 
+// isHungUp reports whether the other side has closed a connection, even if bytes wait to be read.
+func isHungUp(fd uintptr) bool {
+	const hungUp = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0 && fds[0].Revents&hungUp != 0
+}
+
 // update sets idle and open from the current state of the socket.
 func (p *socketProbe) update() error {
 	if p.rawConn == nil {
@@ -327,7 +340,7 @@
 // connected.
 func (p *socketProbe) Connected() bool {
 	err := p.update()
-	return errors.Is(err, errNoSocket) || (err == nil && p.open)
+	return errors.Is(err, errNoSocket) || (err == nil && p.open && !p.closedBehindBytes)
 }
 
 // NewCaller returns the Caller for the connection on which a call arrived.
--- a/pkg/sidecar/conns.go
+++ b/pkg/sidecar/conns.go
@@ -60,13 +60,17 @@
 
 // setPhase sets the phase of a connection, if it is tracked.
 func setPhase(conn net.Conn, phase connPhase) {
-	if c, ok := conn.(*trackedConn); ok {
-		c.tracker.mu.Lock()
-		defer c.tracker.mu.Unlock()
-		c.setPhaseLocked(phase)
+	if c, ok := conn.(interface{ changePhase(phase connPhase) }); ok {
+		c.changePhase(phase)
 	}
 }
 
+func (c *trackedConn) changePhase(phase connPhase) {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	c.setPhaseLocked(phase)
+}
+
 // recordState receives the state changes of the server's connections. After an answer, a connection is idle. A request
 // that arrived together with the one before it is already in the server's buffer, so no read shows its first byte.
 func (t *connTracker) recordState(conn net.Conn, state fasthttp.ConnState) {
--- a/pkg/sidecar/conns_test.go
+++ b/pkg/sidecar/conns_test.go
@@ -76,9 +76,9 @@
 func TestConnectionPhasesAreCounted(t *testing.T) {
 	g := NewWithT(t)
 	m := newTestMesh(t, 1, nil)
-	respond := make(chan struct{})
+	respond := map[string]chan struct{}{"a": make(chan struct{}), "b": make(chan struct{})}
 	m.upstreams[0].setHandler(func(ctx *fasthttp.RequestCtx) {
-		<-respond
+		<-respond[string(ctx.Request.Header.Peek(headerNames.RequestID))]
 		ctx.SetBody(bytes.Repeat([]byte{'x'}, largeAnswerSize))
 	})
 	counts := func() connCounts { return m.nodes[0].callers.conns.snapshot() }
@@ -90,12 +90,12 @@
 	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseReading: 1}))
 	c.sendText(first[20:] + second)
 	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseHandling: 1}))
-	respond <- struct{}{}
+	close(respond["a"])
 	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseWriting: 1}))
 	_, err := c.readAnswer()
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseHandling: 1}))
-	respond <- struct{}{}
+	close(respond["b"])
 	g.Eventually(counts, 5*time.Second).Should(Equal(connCounts{phaseWriting: 1}))
 	_, err = io.CopyN(io.Discard, c.r, largeAnswerSize)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -160,13 +160,19 @@
 // objective.
 func (c *call) setDeadlines(req *fasthttp.Request) {
 	allowed := c.route.Timeout
-	if ms, err := strconv.ParseFloat(string(req.Header.Peek(c.node.o.Headers.DeadlineMS)), 64); err == nil && ms > 0 {
-		allowed = min(allowed, time.Duration(ms*float64(time.Millisecond)))
+	if callerTime, ok := c.node.callerTime(req); ok {
+		allowed = min(allowed, callerTime)
 	}
 	c.deadline = c.arrived + allowed
 	c.objective = c.arrived + min(c.route.Objective, allowed)
 }
 
+// callerTime returns for how long the caller waits for the response, if its request says so.
+func (n *Node) callerTime(req *fasthttp.Request) (time.Duration, bool) {
+	ms, err := strconv.ParseFloat(string(req.Header.Peek(n.o.Headers.DeadlineMS)), 64)
+	return time.Duration(ms * float64(time.Millisecond)), err == nil && ms > 0
+}
+
 // chooseService picks one of the destinations at random, in proportion to their weights.
 func chooseService(destinations []mesh.Destination) string {
 	if len(destinations) == 1 {
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -42,14 +42,16 @@
 
 // Node forwards the requests of the callers on one VM, and runs requests of all nodes at the upstream of the VM.
 type Node struct {
-	o                  Options
-	controller         *controller
-	teamLimiter        *teamLimiter
-	retryBudgets       *retryBudgets
-	recorder           *recorder
-	lateness           *latenessMonitor
-	peerPool           *peer.Pool
-	bodyBudget         *peer.BodyBudget
+	o            Options
+	controller   *controller
+	teamLimiter  *teamLimiter
+	retryBudgets *retryBudgets
+	recorder     *recorder
+	lateness     *latenessMonitor
+	peerPool     *peer.Pool
+	// responseBodies and requestBodies bound the bodies that the node holds at once.
+	responseBodies     *peer.BodyBudget
+	requestBodies      *peer.BodyBudget
 	peerPort           string
 	requestsInProgress atomic.Int64
 	// sentToNodes is the number of requests that other nodes have at the moment.
@@ -77,12 +79,13 @@
 		placementTable: placement.NewTable(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	n.retryBudgets = newRetryBudgets(&n.o)
-	n.bodyBudget = newBodyBudget(&o.Settings)
+	n.responseBodies = newBodyBudget(&o.Settings, responseBodiesPercent)
+	n.requestBodies = newBodyBudget(&o.Settings, requestBodiesPercent)
 	n.peerPool = peer.NewPool(peer.PoolOptions{
 		Clock: o.Clock, IdleTimeout: peerIdleTimeout, CallerCheckInterval: callerCheckInterval, TCPUserTimeout: unackedTimeout,
-		BodyBudget: n.bodyBudget,
+		BodyBudget: n.responseBodies,
 	})
-	n.controller = newController(&n.o, n.bodyBudget)
+	n.controller = newController(&n.o, n.responseBodies)
 	n.teamLimiter = newTeamLimiter(&n.o, n.peerPool, ip, n.peerPort)
 	n.lateness = newLatenessMonitor(&n.o, n.recorder.registry, n.inProgress)
 	return n, nil
@@ -116,7 +119,7 @@
 
 // trackedServer is one of the node's HTTP servers.
 type trackedServer struct {
-	*fasthttp.Server
+	server   interface{ Serve(l net.Listener) error }
 	name     string
 	address  string
 	listener *trackedListener
@@ -126,8 +129,12 @@
 // listen makes the node listen on the addresses of its servers.
 func (n *Node) listen() ([]*trackedServer, error) {
 	s := &n.o.Settings
-	n.callers = n.newTrackedServer("callers", s.CallerAddress, n.handle, callerIdleTimeout)
-	n.peers = n.newTrackedServer("peers", cmp.Or(s.PeerListenAddress, s.PeerAddress), n.handlePeer, peerServerIdleTimeout)
+	callers, peers, err := n.newConnServers()
+	if err != nil {
+		return nil, err
+	}
+	n.callers = &trackedServer{server: callers, name: "callers", address: s.CallerAddress, conns: newConnTracker()}
+	n.peers = &trackedServer{server: peers, name: "peers", address: cmp.Or(s.PeerListenAddress, s.PeerAddress), conns: newConnTracker()}
 	servers := []*trackedServer{n.callers, n.peers, n.newTrackedServer("ready", s.ReadyAddress, n.handleReady, callerIdleTimeout)}
 	if s.MetricsAddress != "" {
 		servers = append(servers, n.newTrackedServer("metrics", s.MetricsAddress, n.serveMetrics, callerIdleTimeout))
@@ -143,11 +150,29 @@
 }
 
 func (n *Node) newTrackedServer(name, address string, handler fasthttp.RequestHandler, idle time.Duration) *trackedServer {
-	s := &trackedServer{Server: n.newServer(handler, idle), name: name, address: address, conns: newConnTracker()}
-	s.conns.attach(s.Server)
+	server := n.newServer(handler, idle)
+	s := &trackedServer{server: server, name: name, address: address, conns: newConnTracker()}
+	s.conns.attach(server)
 	return s
 }
 
+// newConnServers returns the servers for callers and for other nodes. Nodes send one request at a time on a connection.
+func (n *Node) newConnServers() (callers, peers *connServer, err error) {
+	template, err := newResponseTemplate()
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "the HTTP library did not return an empty response; check its version")
+	}
+	callers = &connServer{
+		handler: n.countBodies(n.recoverPanics(n.handle)), concurrency: maxPipelined, mustRunAlone: n.mustRunAlone, bodyTime: n.callerBodyTime,
+		refuseBody: n.refuseCallerBody, handleReadError: n.handleReadError, idleTimeout: callerIdleTimeout, bodies: n.requestBodies, log: n.o.Log, template: template,
+	}
+	peers = &connServer{
+		handler: n.countBodies(n.recoverPanics(n.handlePeer)), concurrency: 1, bodyTime: n.forwardedBodyTime, refuseBody: n.refuseForwardedBody,
+		handleReadError: n.handleReadError, idleTimeout: peerServerIdleTimeout, bodies: n.requestBodies, log: n.o.Log, template: template,
+	}
+	return callers, peers, nil
+}
+
 // Run serves until ctx ends and then stops gracefully. It returns an error if it cannot listen on one of the addresses.
 func (n *Node) Run(ctx context.Context) error {
 	servers, err := n.listen()
@@ -162,7 +187,7 @@
 	group.Go(func() { n.closeUnusableConnections(background) })
 	for _, s := range servers {
 		group.Go(func() {
-			if err := s.Serve(s.listener); err != nil {
+			if err := s.server.Serve(s.listener); err != nil {
 				n.o.Log.WithError(err).WithField("address", s.address).Error("a listener failed; restart the node")
 			}
 		})
--- a/pkg/sidecar/recorder.go
+++ b/pkg/sidecar/recorder.go
@@ -126,6 +126,15 @@
 	}).Info("upstream did not answer a forwarded request")
 }
 
+// recordRefusedBody records that the body of a request did not fit into the memory for request bodies. bytes is its size,
+// or negative if it was sent in chunks, held the size of the bodies that the node holds.
+func (r *recorder) recordRefusedBody(id string, bytes int, held int64) {
+	metrics.GetOrRegisterCounter(metricName("refused_bodies_total"), r.registry).Inc(1)
+	if r.takeLine(r.clock.Now(), refusalLine) {
+		r.log.WithFields(logrus.Fields{"request": id, "bytes": bytes, "held_bytes": held}).Warn("refused the body of a request; the memory for request bodies is used up")
+	}
+}
+
 func (r *recorder) histogram(name string) metrics.Histogram {
 	if h, ok := r.registry.Get(name).(metrics.Histogram); ok {
 		return h
--- a/pkg/sidecar/stop.go
+++ b/pkg/sidecar/stop.go
@@ -119,6 +119,9 @@
 }
 
 func (n *Node) newCaller(conn net.Conn) *stoppableCaller {
+	if c, ok := conn.(peer.Caller); ok {
+		return &stoppableCaller{c, n}
+	}
 	return &stoppableCaller{peer.NewCaller(conn), n}
 }
 
@@ -207,6 +210,8 @@
 func (n *Node) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	var tooLarge *fasthttp.ErrSmallBuffer
 	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		ctx.Error("the request body is too large", fasthttp.StatusRequestEntityTooLarge)
 	case errors.As(err, &tooLarge):
 		ctx.Error("the request header is too large", fasthttp.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded) && n.stopping.Load():
