Send the bodies of uploads when they are asked for, and within what the link carries

Cause: a request that an upstream's node refused had moved its body there, up to five times. On a link of 16 Mbit/s one body of 60 KB takes 30 ms, and versions, team limits and small requests waited behind them.

Change: a body of more than 16 KB goes to another node only once that node asks for it (Expect: 100-continue), which it does when it holds a slot for the request. A large body waits in its own data centre for up to half of the spare time until its objective (0.15 before), and moving it counts 6 ms a KB in the order of upstreams.

Ruled out: holding the link's share after the slot was granted. Slots would be idle while the link is the bottleneck. Not measured: passing a body on while it arrives. It is held whole at its entry node, which keeps the right to choose another upstream.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -11,6 +11,10 @@
 	// remotePenalty is added to the expected time of upstreams in other data centres, because bytes between data
 	// centres are billed. Slower upstreams and short queues in the own data centre still meet most objectives.
 	remotePenalty = 150 * time.Millisecond
+	// remotePenaltyPerKB is added for each 1000 bytes of the body of a request. A body of 60 KB is worth as much waiting as
+	// most objectives allow.
+	remotePenaltyPerKB = 6 * time.Millisecond
+	maxBodyPenalty     = time.Second
 	// coldPenalty is added to the expected time of a cold upstream, so that it gets requests only if others are full.
 	coldPenalty = 2 * time.Second
 	// maxLoadAge is how long a reported load of an upstream is used.
@@ -62,7 +66,9 @@
 	backoffUntil time.Duration
 	// Until skipUntil the upstream is expected to refuse requests of refusedPriority and less urgent ones. It expects
 	// a free slot at expectedFreeAt.
-	skipUntil       time.Duration
+	skipUntil time.Duration
+	// Until skipBodiesUntil the link of the upstream's VM is expected to be too busy for large bodies.
+	skipBodiesUntil time.Duration
 	expectedFreeAt  time.Duration
 	refusedPriority int
 }
@@ -86,9 +92,10 @@
 	return u
 }
 
-// Rank returns the candidates in the order of the time in which they are expected to answer. Candidates that recently
+// Rank returns the candidates in the order of the time in which they are expected to answer a request with a body of the
+// given size. Candidates that recently
 // did not answer, or whose health is unknown, come last.
-func (t *Table) Rank(now time.Duration, candidates []Candidate) []Candidate {
+func (t *Table) Rank(now time.Duration, candidates []Candidate, bodyBytes int) []Candidate {
 	type ranked struct {
 		Candidate
 		cost      time.Duration
@@ -99,7 +106,7 @@
 		u := t.upstream(c.ID)
 		cost := u.expectedTime(now)
 		if !c.SameDataCentre {
-			cost += remotePenalty
+			cost += remotePenalty + min(maxBodyPenalty, remotePenaltyPerKB*time.Duration(bodyBytes)/1000)
 		}
 		// A small random part keeps nodes from all choosing the same upstream at the same time.
 		cost += time.Duration(t.rand.Float64() * float64(time.Millisecond))
@@ -145,10 +152,19 @@
 	u.skipUntil = now + min(maxSkip, time.Duration(skipShare*float64(after)))
 }
 
+// RecordBodyRefusal records that the link of an upstream's VM was too busy for a large body, and that it is expected to be
+// less busy after the given time. Small requests are not affected.
+func (t *Table) RecordBodyRefusal(now time.Duration, id string, after time.Duration) {
+	t.upstream(id).skipBodiesUntil = now + min(maxSkip, after)
+}
+
 // RefusalExpected reports whether an upstream is expected to refuse a request of the given priority, and the time until
-// it expects a free slot. Not asking such an upstream saves a message to another node, often in another data centre.
-func (t *Table) RefusalExpected(now time.Duration, id string, priority int) (after time.Duration, expected bool) {
+// it is expected to accept one. Not asking such an upstream saves a message to another node, often in another data centre.
+func (t *Table) RefusalExpected(now time.Duration, id string, priority int, hasLargeBody bool) (after time.Duration, expected bool) {
 	u := t.upstream(id)
+	if hasLargeBody && now < u.skipBodiesUntil {
+		return u.skipBodiesUntil - now, true
+	}
 	return u.expectedFreeAt - now, now < u.skipUntil && priority >= u.refusedPriority
 }
 
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -13,7 +13,7 @@
 var local, remote = Candidate{ID: "near", SameDataCentre: true}, Candidate{ID: "far"}
 
 func firstRanked(t *Table, now time.Duration) string {
-	return t.Rank(now, []Candidate{remote, local})[0].ID
+	return t.Rank(now, []Candidate{remote, local}, 0)[0].ID
 }
 
 func loadWithWaiting(waiting int) Load {
@@ -65,7 +65,7 @@
 	g := NewWithT(t)
 	table := newTable()
 	refusalExpected := func(now time.Duration, priority int) bool {
-		_, expected := table.RefusalExpected(now, "near", priority)
+		_, expected := table.RefusalExpected(now, "near", priority, false)
 		return expected
 	}
 	g.Expect(refusalExpected(0, 1)).To(BeFalse())
@@ -75,7 +75,7 @@
 	g.Expect(refusalExpected(time.Millisecond, 2)).To(BeTrue())
 	// A more urgent request may displace a waiting one.
 	g.Expect(refusalExpected(time.Millisecond, 0)).To(BeFalse())
-	freeIn, _ := table.RefusalExpected(time.Millisecond, "near", 1)
+	freeIn, _ := table.RefusalExpected(time.Millisecond, "near", 1, false)
 	g.Expect(freeIn).To(Equal(after - time.Millisecond))
 	g.Expect(refusalExpected(after, 1)).To(BeFalse())
 	// An upstream that expects a long wait is still asked again soon.
@@ -95,3 +95,34 @@
 	table.RetainOnly(map[string]bool{"far": true})
 	g.Expect(table.upstreams).To(BeEmpty())
 }
+
+// Load: uploads of 60 KB and small requests for the same service while the upstream of the own data centre is busy.
+// Guards against bodies that are moved between data centres, where each byte is billed, while small requests keep the
+// slots of the own one, and against a body that makes a full upstream look best for ever.
+func TestBodiesStayInOwnDataCentre(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable()
+	first := func(bytes int) string { return table.Rank(0, []Candidate{remote, local}, bytes)[0].ID }
+	table.RecordLoad(0, "near", loadWithWaiting(8))
+	g.Expect(first(0)).To(Equal("far"))
+	g.Expect(first(60_000)).To(Equal("near"))
+	table.RecordLoad(0, "near", loadWithWaiting(28))
+	g.Expect(first(60_000)).To(Equal("far"))
+	table.RecordLoad(0, "near", loadWithWaiting(60))
+	g.Expect(first(50_000_000)).To(Equal("far"))
+}
+
+// Guards against small requests that avoid an upstream because its link was too busy for a body, and against bodies that
+// are offered to it again before the link can carry them.
+func TestBodyRefusalConcernsBodiesOnly(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable()
+	table.RecordBodyRefusal(0, "near", 40*time.Millisecond)
+	_, small := table.RefusalExpected(time.Millisecond, "near", 1, false)
+	g.Expect(small).To(BeFalse())
+	after, large := table.RefusalExpected(time.Millisecond, "near", 1, true)
+	g.Expect(large).To(BeTrue())
+	g.Expect(after).To(Equal(39 * time.Millisecond))
+	_, large = table.RefusalExpected(40*time.Millisecond, "near", 1, true)
+	g.Expect(large).To(BeFalse())
+}
--- a/decision/slots/queue.go
+++ b/decision/slots/queue.go
@@ -51,6 +51,9 @@
 	// the objective after its service time. Callers that are refused come back with less time, so the queue has to be
 	// short.
 	maxWaitShare = 0.15
+	// costlyMaxWaitShare is the same bound for requests that are costly to move. The upstreams of the own data centre are
+	// not asked again after they have refused, so a longer wait there saves the transfer and still meets the objective.
+	costlyMaxWaitShare = 0.5
 	// nestedMaxWaitShare is the same bound for nested requests. It is larger, because they must not be refused just to
 	// keep the queue short.
 	nestedMaxWaitShare = 0.6
@@ -69,6 +72,9 @@
 	// Nested marks a call that a running request makes to another service. If it is refused, the work of the running
 	// request is lost.
 	Nested bool
+	// CostlyToMove marks a request that should rather wait here than be sent to another data centre, as long as it meets
+	// its objective.
+	CostlyToMove bool
 	// MustMeetObjective marks a request that is refused if it would miss its objective, because its sender can try
 	// another upstream.
 	MustMeetObjective bool
@@ -237,6 +243,9 @@
 	if r.Nested {
 		return nestedMaxWaitShare
 	}
+	if r.CostlyToMove {
+		return costlyMaxWaitShare
+	}
 	return maxWaitShare
 }
 
--- a/decision/slots/queue_test.go
+++ b/decision/slots/queue_test.go
@@ -347,3 +347,21 @@
 	q.CancelWaiting(91)
 	g.Expect(q.Load(0).Waiting).To(Equal(maxWaitingPerSlot - 1))
 }
+
+// Load: uploads and small requests that find all slots taken for a moment. Guards against an upload that is sent to
+// another data centre although it would meet its objective here, and against one that waits here past its objective.
+func TestCostlyRequestWaitsWithinObjective(t *testing.T) {
+	g := NewWithT(t)
+	q := NewQueue(1)
+	submit := func(id uint64, costly bool, objective time.Duration) Decision {
+		d, _ := q.Submit(0, Request{
+			ID: id, Route: "r", Priority: 1, Deadline: 4 * objective, Objective: objective, MustMeetObjective: true, CostlyToMove: costly,
+		})
+		return d
+	}
+	g.Expect(submit(1, false, time.Second).Started).To(BeTrue())
+	// The mean service time is 100 ms, so a slot is expected to be free then.
+	g.Expect(submit(2, false, 500*time.Millisecond).Reason).To(Equal(ReasonBusy))
+	g.Expect(submit(3, true, 500*time.Millisecond).Queued).To(BeTrue())
+	g.Expect(submit(4, true, 250*time.Millisecond).Reason).To(Equal(ReasonBusy))
+}
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -76,6 +76,8 @@
 	watch    callerWatch
 	// maxBodyBytes is the bound of LimitBody, or 0.
 	maxBodyBytes int
+	// bodyWhenAsked is set by SendBodyWhenAsked.
+	bodyWhenAsked bool
 }
 
 func newConn(p *Pool, address string, netConn net.Conn) *Conn {
@@ -108,13 +110,26 @@
 	if err := c.netConn.SetDeadline(deadline); err != nil {
 		return err
 	}
-	if err := req.Write(c.writer); err != nil {
+	refused := false
+	if c.bodyWhenAsked && len(req.Body()) > 0 {
+		asked, err := c.sendHeader(req, resp, deadline, watch)
+		if err != nil {
+			// The node passes on no request before it has the body.
+			c.written = 0
+			return err
+		}
+		if refused = !asked; asked {
+			if _, err := c.writer.Write(req.Body()); err != nil {
+				return err
+			}
+		}
+	} else if err := req.Write(c.writer); err != nil {
 		return err
 	}
 	if err := c.writer.Flush(); err != nil {
 		return err
 	}
-	if watch != nil {
+	if watch != nil && !refused {
 		if err := c.awaitResponse(resp, deadline, watch); err != nil {
 			return err
 		}
@@ -134,6 +149,39 @@
 	return nil
 }
 
+// SendBodyWhenAsked makes the next Send hold back the body until the node at the other end asks for it (RFC 9110, section
+// 10.1.1). If the node refuses the request instead, the body is not sent and the connection can be used again. Nodes do
+// so; other servers may expect the body nevertheless.
+func (c *Conn) SendBodyWhenAsked() { c.bodyWhenAsked = true }
+
+// sendHeader sends the header of a request and waits until the node asks for the body. It returns false if the final
+// response begins to arrive instead.
+func (c *Conn) sendHeader(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, watch *Watch) (asked bool, err error) {
+	if watch == nil {
+		watch = &Watch{}
+	}
+	req.Header.SetContentLength(len(req.Body()))
+	req.Header.Set(fasthttp.HeaderExpect, "100-continue")
+	err = req.Header.Write(c.writer)
+	req.Header.Del(fasthttp.HeaderExpect)
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	for n := 0; err == nil && n <= maxInterimResponses; n++ {
+		if err := c.awaitFirstByte(deadline, watch); err != nil {
+			return false, err
+		}
+		interim, err := c.readInterim(resp, deadline, watch)
+		if err != nil || !interim {
+			return false, err
+		}
+		if resp.StatusCode() == fasthttp.StatusContinue {
+			return true, nil
+		}
+	}
+	return false, errors.Join(err, ErrInterimResponse)
+}
+
 // readMatchingResponse reads responses until one belongs to the request. It fails when the watched caller disconnects.
 func (c *Conn) readMatchingResponse(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, watch *Watch, maxBodyBytes int) error {
 	if c.maxBodyBytes > 0 {
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -336,7 +336,7 @@
 // putIdle adds a connection to the idle connections of its address.
 func (p *Pool) putIdle(c *Conn) {
 	c.lastUsed = p.options.Clock.Now()
-	c.maxBodyBytes = 0
+	c.maxBodyBytes, c.bodyWhenAsked = 0, false
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[c.address]
--- a/pkg/sidecar/bodies.go
+++ b/pkg/sidecar/bodies.go
@@ -24,6 +24,10 @@
 	// old buffer, of up to half the size, is still in memory, and the rest is for the state of the node.
 	responseBodiesPercent = 20
 	requestBodiesPercent  = 15
+	// askedBodyBytes is the size in bytes from which the body of a request is sent to another node only once that node
+	// asks for it, so that a refused request moves no body. Below it, the time of one more exchange costs more than the
+	// bytes.
+	askedBodyBytes = 16 << 10
 	// bodiesRetryAfter is the Retry-After of a request whose body does not fit. Bodies are held for as long as a
 	// request takes.
 	bodiesRetryAfter = 300 * time.Millisecond
--- a/pkg/sidecar/conns.go
+++ b/pkg/sidecar/conns.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -41,6 +42,8 @@
 	mu     sync.Mutex
 	conns  map[*trackedConn]struct{}
 	counts connCounts
+	// bytesRead is the number of bytes that were read from all connections.
+	bytesRead atomic.Int64
 	// readUntil is the time until which requests that have begun are read. It is zero until stopReading is called.
 	readUntil time.Time
 }
@@ -159,6 +162,7 @@
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if n > 0 {
+		c.tracker.bytesRead.Add(int64(n))
 		c.tracker.mu.Lock()
 		defer c.tracker.mu.Unlock()
 		if c.phase == phaseIdle {
--- a/pkg/sidecar/connserver.go
+++ b/pkg/sidecar/connserver.go
@@ -54,6 +54,9 @@
 	mustRunAlone func(req *fasthttp.Request) bool
 	// handleReadError sets the response to a request that did not arrive completely.
 	handleReadError func(ctx *fasthttp.RequestCtx, err error)
+	// acceptBody decides about a request whose body its sender holds back until it is asked for. It returns false after it
+	// has set the response of a refused request. It is nil if every body is asked for.
+	acceptBody func(ctx *fasthttp.RequestCtx) bool
 	// refuseBody sets the response to a request whose body does not fit into the memory for bodies.
 	refuseBody func(ctx *fasthttp.RequestCtx)
 	// bodyTime returns the time within which the body of a request has to arrive.
@@ -115,6 +118,8 @@
 	bodyBytes int64
 	// answered is true if the response was ready before the request could be handled.
 	answered bool
+	// discarding is true while the rest of a refused body is still read.
+	discarding bool
 }
 
 // servedConn is a connection of a connServer. The goroutine of serve reads requests. Each request that may run beside
@@ -274,6 +279,11 @@
 func (c *servedConn) readBody(x *exchange) error {
 	req := &x.ctx.Request
 	length := req.Header.ContentLength()
+	if req.MayContinue() && c.server.acceptBody != nil && !c.server.acceptBody(&x.ctx) {
+		// The sender does not send the body, so the connection can be used again.
+		x.answered = true
+		return nil
+	}
 	if length == 0 || length == -2 {
 		return req.ContinueReadBody(c.reader, maxBodySize, false)
 	}
@@ -328,7 +338,9 @@
 // refuseBody answers a request whose body does not fit, and discards the rest of the body, which the caller goes on
 // sending. Without that, closing the connection would make the system discard the answer.
 func (c *servedConn) refuseBody(x *exchange, source io.Reader, left int) error {
-	x.answered = true
+	x.answered, x.discarding = true, true
+	// Whatever was reserved for the request is released.
+	x.ctx.ResetUserValues()
 	c.server.refuseBody(&x.ctx)
 	x.ctx.Response.SetConnectionClose()
 	c.accept(x)
@@ -345,7 +357,7 @@
 // behind one that closes the connection is not passed on.
 func (c *servedConn) accept(x *exchange) {
 	s := c.server
-	if !x.answered && c.reader != nil && c.reader.Buffered() == 0 {
+	if !x.discarding && c.reader != nil && c.reader.Buffered() == 0 {
 		s.readers.Put(c.reader)
 		c.reader = nil
 	}
@@ -357,6 +369,7 @@
 		s.bodies.Release(x.bodyBytes)
 		c.updatePhase()
 		c.mu.Unlock()
+		s.release(x)
 		return
 	}
 	if c.requests.Len() > 0 {
@@ -553,7 +566,7 @@
 
 // release returns an exchange to the pool once its response was written.
 func (s *connServer) release(x *exchange) {
-	x.id, x.bodyBytes, x.answered = 0, 0, false
+	x.id, x.bodyBytes, x.answered, x.discarding = 0, 0, false, false
 	x.ctx.Request.Reset()
 	x.ctx.Response.Reset()
 	x.ctx.ResetUserValues()
--- a/pkg/sidecar/connserver_test.go
+++ b/pkg/sidecar/connserver_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bamboodeal/bamboodeal/decision/transfer"
 	"github.com/bamboodeal/bamboodeal/pkg/mesh"
 )
 
@@ -336,3 +338,98 @@
 		c.expectAnswer(g, id, body)
 	}
 }
+
+// Load: uploads that the node beside the upstream refuses. Guards against sending a body of which the other node has no
+// use, which fills the link of its VM, against losing the connection for that, and against an outcome other than "not
+// run".
+func TestRefusedRequestMovesNoBody(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, patientRoute)
+	m.useOnlyUpstream(1)
+	m.nodes[1].controller.leaving.Store(true)
+	received := func() int64 { return m.nodes[1].peers.conns.bytesRead.Load() }
+	body := strings.Repeat("x", 200_000)
+	c := m.dial()
+	for i := range 3 {
+		id := fmt.Sprint("w", i)
+		c.sendText(requestText("POST", "/write/1", id, body, withKey))
+		resp := c.expectAnswer(g, id, "")
+		g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusServiceUnavailable))
+	}
+	g.Expect(received()).To(BeNumerically("<", len(body)))
+	m.nodes[1].controller.leaving.Store(false)
+	c.sendText(requestText("POST", "/write/1", "w", body, withKey))
+	g.Expect(c.expectAnswer(g, "w", "").StatusCode()).To(Equal(fasthttp.StatusOK))
+	g.Expect(received()).To(BeNumerically(">", len(body)))
+	g.Expect(m.runs()).To(Equal(int64(1)))
+	g.Eventually(func() int { return m.nodes[1].controller.queue.load().Running }, eventTimeout).Should(BeZero())
+}
+
+// underWayOn returns the bytes of bodies that are under way on a link.
+func underWayOn(l *inboundLink) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.link.UnderWay()
+}
+
+// Load: a burst of uploads at the only VM of a service, whose link is narrow. Guards against small requests that wait
+// behind the bodies, against upstream slots or link shares that are kept after a body did not come, and against an upload
+// that is held until its deadline instead of being refused at once.
+func TestUploadsDoNotFillNarrowLink(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, func(r *mesh.Route) { r.Timeout, r.Objective, r.MaxAttempts = 2*time.Second, 800*time.Millisecond, 1 })
+	m.useOnlyUpstream(1)
+	link := newInboundLink(m.nodes[1].o.Clock, 2)
+	m.nodes[1].controller.link = link
+	// A transfer is under way that takes all of the link.
+	started, _ := link.acquire(transfer.Request{Bytes: 60_000, Deadline: time.Hour, Objective: time.Hour}, nil)
+	g.Expect(started).To(BeTrue())
+	body := strings.Repeat("x", 100_000)
+	before := time.Now()
+	resp := m.send(0, request{method: "GET", path: "/read/1", id: "small"})
+	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusOK))
+	c := m.dial()
+	c.sendText(requestText("POST", "/write/1", "large", body, withKey))
+	refused := c.expectAnswer(g, "large", "")
+	g.Expect(refused.StatusCode()).To(Equal(fasthttp.StatusServiceUnavailable))
+	g.Expect(string(refused.Body())).To(ContainSubstring(string(ReasonLinkBusy)))
+	g.Expect(time.Since(before)).To(BeNumerically("<", time.Second))
+	link.finish(60_000)
+	c.sendText(requestText("POST", "/write/1", "again", body, withKey))
+	g.Expect(c.expectAnswer(g, "again", "").StatusCode()).To(Equal(fasthttp.StatusOK))
+	g.Eventually(func() int { return underWayOn(link) }, eventTimeout).Should(BeZero())
+}
+
+// Guards against a node that dies after it has asked for a body, or whose sender does: the slot and the share of the link
+// must not be lost, and the request has not run.
+func TestBodyThatDoesNotComeReleasesReservation(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, nil)
+	u := m.view.Load().UpstreamsByService[testService][0]
+	metadata := requestMetadata{upstream: u.ID, route: "write", remaining: time.Minute, objective: time.Minute, priority: 1}
+	var req fasthttp.Request
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("/write/1")
+	req.Header.SetHost("shop")
+	req.Header.SetContentLength(100_000)
+	req.Header.Set(fasthttp.HeaderExpect, "100-continue")
+	metadata.setHeader(&req)
+	conn, err := net.Dial("tcp4", m.address(0, 1))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = conn.Write(req.Header.Header())
+	g.Expect(err).NotTo(HaveOccurred())
+	answer := make([]byte, 12)
+	_, err = io.ReadFull(conn, answer)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(answer)).To(Equal("HTTP/1.1 100"))
+	running := func() int { return m.nodes[0].controller.queue.load().Running }
+	underWay := func() int { return underWayOn(m.nodes[0].controller.link) }
+	g.Expect(running()).To(Equal(1))
+	g.Expect(underWay()).To(Equal(100_000))
+	_, err = conn.Write(make([]byte, 1000))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.Close()).To(Succeed())
+	g.Eventually(running, eventTimeout).Should(BeZero())
+	g.Eventually(underWay, eventTimeout).Should(BeZero())
+	g.Expect(m.runs()).To(BeZero())
+}
--- a/pkg/sidecar/controller.go
+++ b/pkg/sidecar/controller.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bamboodeal/bamboodeal/decision/slots"
+	"github.com/bamboodeal/bamboodeal/decision/transfer"
 	"github.com/bamboodeal/bamboodeal/pkg/peer"
 )
 
@@ -44,13 +45,14 @@
 	queue  *blockingQueue
 	health *healthChecker
 	pool   *peer.Pool
+	link   *inboundLink
 	// leaving is true once the node refuses new work because it stops.
 	leaving            atomic.Bool
 	requestsInProgress atomic.Int64
 }
 
 func newController(o *Options, budget *peer.BodyBudget) *controller {
-	c := &controller{o: o, queue: newBlockingQueue(o.Clock, 1)}
+	c := &controller{o: o, queue: newBlockingQueue(o.Clock, 1), link: newInboundLink(o.Clock, o.Settings.LinkMbps)}
 	c.pool = peer.NewPool(peer.PoolOptions{
 		Clock: o.Clock, IdleTimeout: upstreamIdleTimeout, MaxConnections: c.maxConnections, MatchResponse: c.isResponseTo, AllowCloseDelimited: true,
 		CallerCheckInterval: callerCheckInterval, TCPUserTimeout: unackedTimeout, BodyBudget: budget,
@@ -93,25 +95,84 @@
 	return ReasonNone
 }
 
-// serve runs a request at the upstream, or refuses it. arrived is when this node received the request, on the process's
-// clock. The watch learns when the upstream takes much longer than usual for a request that may be retried elsewhere.
-func (c *controller) serve(metadata *requestMetadata, arrived time.Duration, req *fasthttp.Request, resp *fasthttp.Response, watch *peer.Watch) (a attemptResult) {
+// reservation is the permission to run a request at the upstream. It holds a slot until it is closed.
+type reservation struct {
+	controller *controller
+	metadata   *requestMetadata
+	deadline   time.Duration
+	// inboundBytes is the size of the body that is being sent to this VM, or 0 once it has arrived.
+	inboundBytes int
+	// sample is the service time of the request, or 0 if that must not count as a sample.
+	sample time.Duration
+	closed bool
+}
+
+// Close releases the slot and the share of the link.
+func (r *reservation) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
+	r.bodyArrived()
+	r.controller.queue.releaseSlot(r.metadata.route, r.sample)
+	r.controller.requestsInProgress.Add(-1)
+	return nil
+}
+
+// bodyArrived records that the body of the request has arrived at this VM.
+func (r *reservation) bodyArrived() {
+	if r.inboundBytes > 0 {
+		r.controller.link.finish(r.inboundBytes)
+		r.inboundBytes = 0
+	}
+}
+
+// reserve waits for a slot of the upstream, and before that for a share of the VM's link if inboundBytes of a body are
+// still to be sent to this VM. arrived is when this node received the request, on the process's clock. The reservation
+// is nil if the request is refused, with the result a.
+func (c *controller) reserve(metadata *requestMetadata, arrived time.Duration, inboundBytes int, caller peer.Caller) (r *reservation, a attemptResult) {
 	c.requestsInProgress.Add(1)
-	defer c.requestsInProgress.Add(-1)
-	defer func() { a.load = c.queue.load() }()
+	defer func() {
+		if r == nil {
+			c.requestsInProgress.Add(-1)
+			a.load = c.queue.load()
+		}
+	}()
 	if reason := c.refusalReason(metadata.upstream); reason != ReasonNone {
-		return attemptResult{outcome: outcomeNotRun, reason: reason}
+		return nil, attemptResult{outcome: outcomeNotRun, reason: reason}
+	}
+	r = &reservation{controller: c, metadata: metadata, deadline: arrived + metadata.remaining}
+	if inboundBytes > 0 {
+		started, after := c.link.acquire(transfer.Request{
+			Bytes: inboundBytes, Priority: metadata.priority, Deadline: r.deadline, Objective: arrived + metadata.objective,
+			MustMeetObjective: metadata.mustMeetObjective,
+		}, caller)
+		if !started {
+			return nil, attemptResult{outcome: outcomeNotRun, reason: ReasonLinkBusy, retryAfter: after}
+		}
+		r.inboundBytes = inboundBytes
 	}
-	deadline := arrived + metadata.remaining
 	reason, after := c.queue.acquireSlot(slots.Request{
-		Route: metadata.route, Priority: metadata.priority, Deadline: deadline, Objective: arrived + metadata.objective,
-		MustMeetObjective: metadata.mustMeetObjective, Nested: metadata.priority == nestedCallPriority,
-	}, watch)
+		Route: metadata.route, Priority: metadata.priority, Deadline: r.deadline, Objective: arrived + metadata.objective,
+		MustMeetObjective: metadata.mustMeetObjective, Nested: metadata.priority == nestedCallPriority, CostlyToMove: metadata.costlyToMove,
+	}, caller)
 	if reason != "" {
-		return attemptResult{outcome: outcomeNotRun, reason: reasonOfQueueRefusal(reason), retryAfter: after}
+		r.bodyArrived()
+		return nil, attemptResult{outcome: outcomeNotRun, reason: reasonOfQueueRefusal(reason), retryAfter: after}
 	}
-	sample := time.Duration(0)
-	defer func() { c.queue.releaseSlot(metadata.route, sample) }()
+	return r, attemptResult{}
+}
+
+// run sends the request to the upstream and closes the reservation. The watch learns when the upstream takes much longer
+// than usual for a request that may be retried elsewhere.
+func (r *reservation) run(req *fasthttp.Request, resp *fasthttp.Response, watch *peer.Watch) (a attemptResult) {
+	c, metadata := r.controller, r.metadata
+	// The load is that after the release of the slot.
+	defer func() {
+		_ = r.Close()
+		a.load = c.queue.load()
+	}()
+	r.bodyArrived()
 	// The node's state may have changed while the request waited for a slot.
 	if reason := c.refusalReason(metadata.upstream); reason != ReasonNone {
 		return attemptResult{outcome: outcomeNotRun, reason: reason}
@@ -119,10 +180,19 @@
 	if hedgeDelay := c.queue.hedgeDelay(metadata.route); metadata.hedgeable && hedgeDelay > 0 && hedgeDelay < metadata.remaining/2 {
 		watch.SlowAt = time.Now().Add(hedgeDelay)
 	}
-	a, sample = c.sendToUpstream(metadata, deadline, req, resp, watch)
+	a, r.sample = c.sendToUpstream(metadata, r.deadline, req, resp, watch)
 	return a
 }
 
+// serve runs a request at the upstream, or refuses it.
+func (c *controller) serve(metadata *requestMetadata, arrived time.Duration, req *fasthttp.Request, resp *fasthttp.Response, watch *peer.Watch) attemptResult {
+	r, a := c.reserve(metadata, arrived, 0, watch)
+	if r == nil {
+		return a
+	}
+	return r.run(req, resp, watch)
+}
+
 // reasonOfQueueRefusal returns the Reason for a refusal by the queue.
 func reasonOfQueueRefusal(r slots.RefusalReason) Reason {
 	switch r {
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -197,7 +197,7 @@
 func (c *call) rewriteHeaders(req *fasthttp.Request) {
 	names := &c.node.o.Headers
 	peer.StripConnectionHeaders(req)
-	for _, name := range [...]string{names.APIKey, names.Team, names.CallerService, names.ExpectUpstream, hopHeader} {
+	for _, name := range [...]string{names.APIKey, names.Team, names.CallerService, names.ExpectUpstream, hopHeader, fasthttp.HeaderExpect} {
 		req.Header.Del(name)
 	}
 	if c.team != nil {
@@ -222,7 +222,7 @@
 			shortestWait, retryAfter = *u, wait
 		}
 	}
-	for _, u := range c.candidates() {
+	for _, u := range c.candidates(len(req.Body())) {
 		if c.nodesAsked >= maxNodesAsked {
 			break
 		}
@@ -230,7 +230,7 @@
 			// It received the request as a hedge.
 			continue
 		}
-		if wait, known := c.node.recentlyRefused(u.ID, c.priority); known {
+		if wait, known := c.node.recentlyRefused(u.ID, c.priority, len(req.Body()) > askedBodyBytes); known {
 			rememberRefusal(u, wait)
 			continue
 		}
@@ -238,7 +238,8 @@
 		if done {
 			return r
 		}
-		if c.lastResult.outcome == outcomeNotRun && !c.lastResult.reachedUpstream && c.lastResult.reason == ReasonOverloaded {
+		if c.lastResult.outcome == outcomeNotRun && !c.lastResult.reachedUpstream &&
+			(c.lastResult.reason == ReasonOverloaded || c.lastResult.reason == ReasonLinkBusy) {
 			rememberRefusal(u, c.lastResult.retryAfter)
 		}
 	}
@@ -252,8 +253,9 @@
 	return c.refusal(retryAfter)
 }
 
-// candidates returns the upstreams of the service in the order in which they are asked.
-func (c *call) candidates() []*mesh.Upstream {
+// candidates returns the upstreams of the service in the order in which they are asked for a request with a body of the
+// given size.
+func (c *call) candidates(bodyBytes int) []*mesh.Upstream {
 	byID := map[string]*mesh.Upstream{}
 	var list []placement.Candidate
 	for _, u := range c.view.UpstreamsByService[c.service] {
@@ -264,7 +266,7 @@
 		list = append(list, placement.Candidate{ID: u.ID, SameDataCentre: u.DataCentre == c.node.o.Settings.DataCentre})
 	}
 	ordered := make([]*mesh.Upstream, 0, len(list))
-	for _, candidate := range c.node.orderCandidates(list) {
+	for _, candidate := range c.node.orderCandidates(list, bodyBytes) {
 		ordered = append(ordered, byID[candidate.ID])
 	}
 	return ordered
@@ -305,6 +307,7 @@
 	metadata := requestMetadata{
 		upstream: u.ID, route: c.route.Name, remaining: c.deadline - now - responseMargin, objective: c.objective - now,
 		priority: c.priority, idempotent: c.route.Idempotent, mustMeetObjective: mustMeetObjective, hedgeable: c.canHedge(u.ID),
+		costlyToMove: len(req.Body()) > askedBodyBytes && u.DataCentre == c.node.o.Settings.DataCentre,
 	}
 	watch := &peer.Watch{Caller: c.caller}
 	if metadata.hedgeable {
--- a/pkg/sidecar/hedge.go
+++ b/pkg/sidecar/hedge.go
@@ -56,7 +56,7 @@
 	if !c.canHedge(running) || c.deadline-now < 2*responseMargin {
 		return 0
 	}
-	if u := c.hedgeUpstream(running); u != nil && c.node.retryBudgets.takeAttempt(c.service, now) {
+	if u := c.hedgeUpstream(running, len(req.Body())); u != nil && c.node.retryBudgets.takeAttempt(c.service, now) {
 		c.startHedge(u, now, first, req)
 	}
 	return hedgeRetryDelay
@@ -64,12 +64,12 @@
 
 // hedgeUpstream returns the upstream for a hedge, or nil if all others have the request already or refused one like it
 // a moment ago.
-func (c *call) hedgeUpstream(running string) *mesh.Upstream {
-	for _, u := range c.candidates() {
+func (c *call) hedgeUpstream(running string, bodyBytes int) *mesh.Upstream {
+	for _, u := range c.candidates(bodyBytes) {
 		if u.ID == running || c.reachedUpstreams[u.ID] {
 			continue
 		}
-		if _, refused := c.node.recentlyRefused(u.ID, c.priority); !refused {
+		if _, refused := c.node.recentlyRefused(u.ID, c.priority, bodyBytes > askedBodyBytes); !refused {
 			return u
 		}
 	}
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -18,7 +18,7 @@
 	hopHeader        = "Bamboodeal-Hop"
 	answerHeader     = "Bamboodeal-Answer"
 	separator        = ";"
-	hopFieldCount    = 8
+	hopFieldCount    = 9
 	answerFieldCount = 8
 )
 
@@ -41,6 +41,9 @@
 	// hedgeable is true if the request may be sent to another upstream while this one is at work on it. The upstream's
 	// node then announces when the response takes much longer than usual.
 	hedgeable bool
+	// costlyToMove is true if the request has a large body and other upstreams are in other data centres, so that it may
+	// wait longer here.
+	costlyToMove bool
 }
 
 // setHeader writes the metadata into the header of a request to another node.
@@ -51,7 +54,7 @@
 	for _, n := range [...]int64{m.remaining.Milliseconds(), m.objective.Milliseconds(), int64(m.priority)} {
 		b = strconv.AppendInt(append(b, separator...), n, 10)
 	}
-	for _, flag := range [...]bool{m.idempotent, m.mustMeetObjective, m.hedgeable} {
+	for _, flag := range [...]bool{m.idempotent, m.mustMeetObjective, m.hedgeable, m.costlyToMove} {
 		b = append(append(b, separator...), flagDigit(flag))
 	}
 	req.Header.SetBytesV(hopHeader, b)
@@ -82,6 +85,7 @@
 		idempotent:        parts[5] == "1",
 		mustMeetObjective: parts[6] == "1",
 		hedgeable:         parts[7] == "1",
+		costlyToMove:      parts[8] == "1",
 	}, nil
 }
 
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -32,7 +32,7 @@
 	if config := n.o.View().Config; config != nil {
 		unknownKinds = len(config.RoutesOfUnknownKind())
 	}
-	const nodeLineCount = 6 + len(servers)*int(phaseCount)
+	const nodeLineCount = 6 + len(servers)*(1+int(phaseCount))
 	lines := make([]string, 0, nodeLineCount)
 	lines = append(lines,
 		fmt.Sprintf("%squeue_running %d", metricPrefix, load.Running),
@@ -43,6 +43,7 @@
 		fmt.Sprintf("%sroutes_of_unknown_kind %d", metricPrefix, unknownKinds),
 	)
 	for _, s := range servers {
+		lines = append(lines, fmt.Sprintf("%s %d", metricName("received_bytes_total", "server", s.name), s.conns.bytesRead.Load()))
 		for phase, count := range s.conns.snapshot() {
 			lines = append(lines, fmt.Sprintf("%s %d", metricName("connections", "server", s.name, "phase", phaseNames[phase]), count))
 		}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -167,7 +167,7 @@
 		refuseBody: n.refuseCallerBody, handleReadError: n.handleReadError, idleTimeout: callerIdleTimeout, bodies: n.requestBodies, log: n.o.Log, template: template,
 	}
 	peers = &connServer{
-		handler: n.countBodies(n.recoverPanics(n.handlePeer)), concurrency: 1, bodyTime: n.forwardedBodyTime, refuseBody: n.refuseForwardedBody,
+		handler: n.countBodies(n.recoverPanics(n.handlePeer)), concurrency: 1, bodyTime: n.forwardedBodyTime, acceptBody: n.acceptBody, refuseBody: n.refuseForwardedBody,
 		handleReadError: n.handleReadError, idleTimeout: peerServerIdleTimeout, bodies: n.requestBodies, log: n.o.Log, template: template,
 	}
 	return callers, peers, nil
@@ -262,60 +262,114 @@
 		}
 		return
 	}
-	a := attemptResult{outcome: outcomeNotRun, reason: ReasonMalformedRequest}
-	if metadata, err := parseRequestMetadata(header); err == nil {
-		ctx.Request.SetRequestURIBytes(ctx.Request.Header.RequestURI())
-		ctx.Request.Header.SetNoDefaultContentType(true)
-		a = n.serveForwarded(ctx, metadata)
-		n.recorder.recordUnanswered(string(ctx.Request.Header.Peek(n.o.Headers.RequestID)), metadata, a)
+	f, reserved := ctx.UserValue(forwardedKey{}).(*forwardedRequest)
+	var a attemptResult
+	if !reserved {
+		f, a = n.acceptForwarded(ctx, 0)
 	}
-	if a.outcome != outcomeRan {
-		ctx.Response.Reset()
-		ctx.Response.Header.SetNoDefaultContentType(true)
+	if f != nil {
+		a = n.runForwarded(ctx, f)
 	}
-	a.setHeader(&ctx.Response)
+	n.answerForwarded(ctx, a)
 }
 
-// announceSlow tells the node that forwarded a request, with an interim response (RFC 9110, section 15.2), that the
-// upstream takes much longer than usual.
-func (n *Node) announceSlow(ctx *fasthttp.RequestCtx) {
-	if _, err := ctx.Conn().Write(slowResponse); err != nil {
-		n.o.Log.WithError(err).Debug("the other node was not told that the upstream is slow; its connection is broken")
-	}
+// forwardedKey is the key of a forwardedRequest whose body was asked for.
+type forwardedKey struct{}
+
+// forwardedRequest is a request that another node forwarded and that has a slot of the node's upstream.
+type forwardedRequest struct {
+	*reservation
+	watch *peer.Watch
+	// shortened is true if the request has less time here than at its entry node, because this node stops.
+	shortened bool
 }
 
-// serveForwarded runs a request that another node forwarded.
-func (n *Node) serveForwarded(ctx *fasthttp.RequestCtx, metadata *requestMetadata) attemptResult {
+// acceptForwarded decides whether a request that another node forwards may run here, and waits for a slot. It returns nil
+// and the result if the request is refused. inboundBytes is the size of a body that the other node has not sent yet.
+func (n *Node) acceptForwarded(ctx *fasthttp.RequestCtx, inboundBytes int) (*forwardedRequest, attemptResult) {
+	metadata, err := parseRequestMetadata(ctx.Request.Header.Peek(hopHeader))
+	if err != nil {
+		return nil, attemptResult{outcome: outcomeNotRun, reason: ReasonMalformedRequest}
+	}
 	arrived := n.o.Clock.Now()
 	deadline, accepted := n.endBeforeStop(arrived, arrived+metadata.remaining, false)
 	if !accepted {
-		return attemptResult{outcome: outcomeNotRun, reason: ReasonLeaving}
+		return nil, n.recordRefusal(ctx, metadata, attemptResult{outcome: outcomeNotRun, reason: ReasonLeaving})
 	}
-	shortened := deadline < arrived+metadata.remaining
+	f := &forwardedRequest{shortened: deadline < arrived+metadata.remaining}
 	metadata.remaining = deadline - arrived
-	watch := &peer.Watch{Caller: n.newCaller(ctx.Conn()), OnSlow: func() time.Duration {
+	f.watch = &peer.Watch{Caller: n.newCaller(ctx.Conn()), OnSlow: func() time.Duration {
 		n.announceSlow(ctx)
 		return 0
 	}}
-	a := n.controller.serve(metadata, arrived, &ctx.Request, &ctx.Response, watch)
+	r, a := n.controller.reserve(metadata, arrived, inboundBytes, f.watch)
+	if r == nil {
+		a.reason = n.reasonOfUnfinished(a.reason, false)
+		return nil, n.recordRefusal(ctx, metadata, a)
+	}
+	f.reservation = r
+	return f, attemptResult{}
+}
+
+// runForwarded runs a request that acceptForwarded has accepted and whose body has arrived.
+func (n *Node) runForwarded(ctx *fasthttp.RequestCtx, f *forwardedRequest) attemptResult {
+	ctx.Request.SetRequestURIBytes(ctx.Request.Header.RequestURI())
+	ctx.Request.Header.SetNoDefaultContentType(true)
+	a := f.run(&ctx.Request, &ctx.Response, f.watch)
 	a.reason = n.reasonOfUnfinished(a.reason, a.outcome != outcomeNotRun)
-	if shortened && a.outcome == outcomeUnknown && a.reason == ReasonTimedOut {
+	if f.shortened && a.outcome == outcomeUnknown && a.reason == ReasonTimedOut {
 		// The request has time left at its entry node.
 		a.reason = ReasonAnswerLost
 	}
+	return n.recordRefusal(ctx, f.metadata, a)
+}
+
+// acceptBody decides about a request whose body another node sends only once this node asks for it. It returns false if
+// the request is refused, with the response in ctx.
+func (n *Node) acceptBody(ctx *fasthttp.RequestCtx) bool {
+	f, a := n.acceptForwarded(ctx, max(1, ctx.Request.Header.ContentLength()))
+	if f == nil {
+		n.answerForwarded(ctx, a)
+		return false
+	}
+	// The reservation is closed with the request, also if its body never arrives.
+	ctx.SetUserValue(forwardedKey{}, f)
+	return true
+}
+
+// recordRefusal records a result without a response of the upstream.
+func (n *Node) recordRefusal(ctx *fasthttp.RequestCtx, metadata *requestMetadata, a attemptResult) attemptResult {
+	n.recorder.recordUnanswered(string(ctx.Request.Header.Peek(n.o.Headers.RequestID)), metadata, a)
 	return a
 }
 
+// answerForwarded adds the result to the response for the other node.
+func (n *Node) answerForwarded(ctx *fasthttp.RequestCtx, a attemptResult) {
+	if a.outcome != outcomeRan {
+		ctx.Response.Reset()
+		ctx.Response.Header.SetNoDefaultContentType(true)
+	}
+	a.setHeader(&ctx.Response)
+}
+
+// announceSlow tells the node that forwarded a request, with an interim response (RFC 9110, section 15.2), that the
+// upstream takes much longer than usual.
+func (n *Node) announceSlow(ctx *fasthttp.RequestCtx) {
+	if _, err := ctx.Conn().Write(slowResponse); err != nil {
+		n.o.Log.WithError(err).Debug("the other node was not told that the upstream is slow; its connection is broken")
+	}
+}
+
 // orderCandidates returns the candidates in the order in which to ask them. The load of the node's own upstream is up
 // to date.
-func (n *Node) orderCandidates(list []placement.Candidate) []placement.Candidate {
+func (n *Node) orderCandidates(list []placement.Candidate, bodyBytes int) []placement.Candidate {
 	now := n.o.Clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if own := n.o.View().OwnUpstream; own != nil {
 		n.placementTable.RecordLoad(now, own.ID, placementLoad(n.controller.queue.load()))
 	}
-	return n.placementTable.Rank(now, list)
+	return n.placementTable.Rank(now, list, bodyBytes)
 }
 
 // recordSent records that a request is sent to the upstream.
@@ -325,15 +379,15 @@
 	n.placementTable.RecordSent(id)
 }
 
-// recentlyRefused reports whether an upstream refused a request of this priority a moment ago, and after which time it
-// expects a free slot. It is always false for the node's own upstream, which can be asked without a message.
-func (n *Node) recentlyRefused(id string, priority int) (after time.Duration, known bool) {
+// recentlyRefused reports whether an upstream refused a request of this priority, or a large body, a moment ago, and after
+// which time it expects to accept one. It is always false for the node's own upstream, which can be asked without a message.
+func (n *Node) recentlyRefused(id string, priority int, hasLargeBody bool) (after time.Duration, known bool) {
 	if own := n.o.View().OwnUpstream; own != nil && own.ID == id {
 		return 0, false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.placementTable.RefusalExpected(n.o.Clock.Now(), id, priority)
+	return n.placementTable.RefusalExpected(n.o.Clock.Now(), id, priority, hasLargeBody)
 }
 
 // recordResult records what the result of an attempt says about an upstream.
@@ -352,6 +406,8 @@
 		n.placementTable.RecordUnknownHealth(now, id)
 	case ReasonOverloaded:
 		n.placementTable.RecordRefusal(now, id, priority, a.retryAfter)
+	case ReasonLinkBusy:
+		n.placementTable.RecordBodyRefusal(now, id, a.retryAfter)
 	case ReasonUpstreamShed, ReasonAnswerLost:
 		n.placementTable.RecordOutcome(id, true)
 	case ReasonNone:
@@ -389,6 +445,9 @@
 		return attemptResult{outcome: outcomeNotRun, reason: ReasonUnreachable}
 	}
 	watch.SlowOnInterim = true
+	if len(req.Body()) > askedBodyBytes {
+		conn.SendBodyWhenAsked()
+	}
 	n.sentToNodes.Add(1)
 	defer n.sentToNodes.Add(-1)
 	sent, err := conn.SendWatched(req, resp, until, watch)
--- a/pkg/sidecar/reason.go
+++ b/pkg/sidecar/reason.go
@@ -48,6 +48,8 @@
 	ReasonCallerGone Reason = "caller_gone"
 	// ReasonBodiesTooLarge means that the body of the request does not fit into the node's memory for request bodies.
 	ReasonBodiesTooLarge Reason = "bodies_too_large"
+	// ReasonLinkBusy means that the network link of the upstream's VM cannot carry the body of the request in time.
+	ReasonLinkBusy Reason = "link_busy"
 	// ReasonRetryBudgetSpent means that another attempt would exceed the retry budget.
 	ReasonRetryBudgetSpent Reason = "retry_budget_spent"
 )
@@ -64,6 +66,7 @@
 	ReasonDeadlineExceeded: "the deadline passed before the request was sent; allow more time",
 	ReasonLeaving:          "the node stops; send the request to another node",
 	ReasonBodiesTooLarge:   "the node holds too many bytes of requests; send the request again after Retry-After",
+	ReasonLinkBusy:         "the network links to the upstreams are busy; send the request again after Retry-After",
 	ReasonUpstreamShed:     "the upstream refused the request; send it again after Retry-After",
 	ReasonUnreachable:      "no upstream was reached; send the request again after Retry-After",
 	ReasonAnswerLost:       "the answer was lost and the request may have run; check before sending it again",
