Let the slack of the retry budget be gained again in each window

Cause: the slack of the bound on extra attempts holds for each 10 s, but a node got its part of it only once. When the upstreams of a service reject a part of their requests, nodes could repeat a tenth of them.

A budget holds at least one attempt: the test showed that one with a capacity below 1 never allows any. The figures for 295 and 12 nodes stay within the bound in every window of the test.

--- a/decision/retry/budget.go
+++ b/decision/retry/budget.go
@@ -17,8 +17,8 @@
 )
 
 // Budget limits a node's extra attempts to a ratio of its first attempts. In addition, a floor allows one extra attempt
-// in 2 s, so that a node with few calls can retry at all. Budgets of NewProportionalBudget have no floor. A Budget is
-// not safe for concurrent use.
+// in 2 s, so that a node with few calls can retry at all. Budgets of NewProportionalBudget have a refill instead, which
+// SetRefill sets. A Budget is not safe for concurrent use.
 type Budget struct {
 	// tokens is the number of extra attempts that first attempts have earned, at most capacity.
 	tokens   float64
@@ -28,12 +28,32 @@
 	floor          float64
 	withoutFloor   bool
 	floorUpdatedAt time.Duration
+	// refillPerSecond is the number of extra attempts that the budget gains in a second even without first attempts.
+	// refilledAt is the time up to which they are in tokens.
+	refillPerSecond float64
+	refilledAt      time.Duration
 }
 
 // NewProportionalBudget returns a budget without a floor. It starts with capacity extra attempts and gains ratio extra
 // attempts with each first attempt.
-func NewProportionalBudget(capacity, ratio float64) *Budget {
-	return &Budget{tokens: capacity, capacity: capacity, ratio: ratio, withoutFloor: true}
+func NewProportionalBudget(now time.Duration, capacity, ratio float64) *Budget {
+	return &Budget{tokens: capacity, capacity: capacity, ratio: ratio, withoutFloor: true, refilledAt: now}
+}
+
+// SetRefill sets the capacity and what the budget gains in a second from now on even without first attempts. The capacity
+// is at least 1, because a budget that holds less never allows an attempt.
+func (b *Budget) SetRefill(now time.Duration, capacity, perSecond float64) {
+	b.refill(now)
+	b.capacity, b.refillPerSecond = max(1, capacity), perSecond
+	b.tokens = min(b.capacity, b.tokens)
+}
+
+// refill adds what the budget has gained since it was last refilled.
+func (b *Budget) refill(now time.Duration) {
+	if now > b.refilledAt {
+		b.tokens = min(b.capacity, b.tokens+b.refillPerSecond*(now-b.refilledAt).Seconds())
+		b.refilledAt = now
+	}
 }
 
 // NewBudget returns a budget of 10% of the first attempts with a floor. It starts with a full floor and nothing else.
@@ -53,10 +73,14 @@
 
 // Available reports whether Withdraw would succeed. It does not count what the floor has gained since the last
 // Withdraw.
-func (b *Budget) Available() bool { return b.tokens >= nearlyOne || b.floor >= nearlyOne }
+func (b *Budget) Available(now time.Duration) bool {
+	b.refill(now)
+	return b.tokens >= nearlyOne || b.floor >= nearlyOne
+}
 
 // Withdraw takes one extra attempt and reports whether there was one.
 func (b *Budget) Withdraw(now time.Duration) bool {
+	b.refill(now)
 	if now > b.floorUpdatedAt && !b.withoutFloor {
 		b.floor = min(floorCapacity, b.floor+float64(now-b.floorUpdatedAt)/float64(floorInterval))
 		b.floorUpdatedAt = now
