Play uploads and pipelined callers in the fault soak

Change: one more caller on each VM sends up to five reads and uploads of 8 to 120 KB behind one another. Its answers have to come in the order of its requests, an upstream has to get each body whole, no upload whose body was cut off may run, and no request that may run only once may have run behind a response that closed its connection, because its caller sends it again.

Ruled out: counting a request behind a connection that was reset as not read. A reset discards answers that the caller had not read yet, so such a request may have run.

--- a/experiments/soak/faults.go
+++ b/experiments/soak/faults.go
@@ -177,6 +177,7 @@
 	routes := []*mesh.Route{
 		{Name: "read", PathPrefix: "/read/", Idempotent: true, Destinations: onlyDestination(serviceAlpha)},
 		{Name: "write", PathPrefix: "/write/", Destinations: onlyDestination(serviceBeta)},
+		{Name: "upload", PathPrefix: uploadPathPrefix, Destinations: onlyDestination(serviceBeta)},
 		{Name: "inner", PathPrefix: nestedPathPrefix, Idempotent: true, Public: true, Destinations: onlyDestination(serviceBeta)},
 		{Name: "moving", PathPrefix: "/moving/", Idempotent: true, Destinations: []mesh.Destination{
 			{Service: serviceAlpha, Weight: alphaPercent}, {Service: serviceBeta, Weight: 100 - alphaPercent},
--- a/experiments/soak/lost.go
+++ b/experiments/soak/lost.go
@@ -82,6 +82,10 @@
 	var lost []*requestRecord
 	works := map[*requestRecord]plannedWork{}
 	for _, r := range l.records {
+		if errors.Is(r.failure, errNotRead) && !r.idempotent && r.deadline > 0 && len(r.executions) > 0 {
+			l.addViolationLocked("twice", "%s, sent behind a request whose response ended the connection, ran at %s; its caller sends it again",
+				r.id, r.executions[0].upstream)
+		}
 		if r.endedAt.IsZero() || r.fromUpstream || !l.isCalm(r) || r.reachedDeadline() {
 			continue
 		}
--- a/experiments/soak/soak.go
+++ b/experiments/soak/soak.go
@@ -25,6 +25,8 @@
 	serviceBeta  = "beta"
 	// callersPerVM is the number of callers on each VM. Together, the callers of the team red exceed its limit.
 	callersPerVM = 3
+	// firstPipelinedCaller is the number of the first caller that sends series of requests; there is one on each VM.
+	firstPipelinedCaller = 100_000
 	// recoveryTime is how long after the last fault the mesh has to serve requests normally again. It is long enough
 	// for nodes to notice connections that went silent, for expired entries to be published again and for cold
 	// upstreams to become warm.
@@ -182,6 +184,7 @@
 		for n := range callersPerVM {
 			callers.Go(func() { s.runCaller(callerContext, v, i*callersPerVM+n) })
 		}
+		callers.Go(func() { s.runPipelinedCaller(callerContext, v, firstPipelinedCaller+i) })
 	}
 	extraContext, stopExtra := context.WithCancel(callerContext)
 	possibleFaults, minInterval, maxInterval := faults, minFaultInterval, maxFaultInterval
--- a/experiments/soak/upstream.go
+++ b/experiments/soak/upstream.go
@@ -211,6 +211,9 @@
 	u.ledger.recordExecution(received, u.service, hasKey, cold, execution{
 		at: time.Now(), upstream: id, stamp: stamp, status: fasthttp.StatusOK,
 	})
+	if strings.HasPrefix(received.path, uploadPathPrefix) && !isUploadBody(received.id, ctx.PostBody()) {
+		u.ledger.addViolation("unasked", "%s received a body of %d bytes that is not that of %s", id, len(ctx.PostBody()), received.id)
+	}
 	status := fasthttp.StatusOK
 	duration := u.executionTime()
 	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(names.DeadlineMS))); err == nil && duration > time.Duration(ms)*time.Millisecond {
