Fix what the linter finds in the reading of connections

With the close announced too early, and with requests that must run alone beside others, it still fails.

--- a/pkg/sidecar/connserver.go
+++ b/pkg/sidecar/connserver.go
@@ -534,7 +534,7 @@
 	for c.requests.Len() > 0 {
 		c.turn.Wait()
 	}
-	c.trackedConn.changePhase(phaseWaiting)
+	c.changePhase(phaseWaiting)
 	c.mu.Unlock()
 	// It ends with the connection or with the read deadline that endWriting has set.
 	_, _ = io.Copy(io.Discard, c.trackedConn)
@@ -551,7 +551,7 @@
 	case c.reading:
 		phase = phaseReading
 	}
-	c.trackedConn.changePhase(phase)
+	c.changePhase(phase)
 }
 
 func (s *connServer) acquire(c *servedConn) *exchange {
