Count the calls of repeated requests in the retry budget

What callers saw: nothing; the bound on extra attempts was broken.

Cause: status-read calls atelier-files, which rejected 55% of its arrivals. Requests whose calls failed were repeated, within the budget of their own service, and made their calls again.

Change: the hop header says whether a request is repeated. The node beside the upstream knows the share of such requests among those that run there, and a call that enters at this node takes that share of an attempt from the budget, which may owe up to 20. As the calls are counted now, requests earn 0.8 of the allowed ratio (0.6 before).

Ruled out: earning less instead. It leaves retries unused where no request makes calls, and does not hold for a service whose callers make more calls.

--- a/decision/retry/budget.go
+++ b/decision/retry/budget.go
@@ -14,13 +14,17 @@
 	floorInterval = 2 * time.Second
 	// floorCapacity is the largest number of extra attempts that the floor holds.
 	floorCapacity = 2
+	// maxDebt is the largest number of extra attempts that a budget owes. It bounds how long a node makes none after many
+	// calls of repeated requests.
+	maxDebt = 20
 )
 
 // Budget limits a node's extra attempts to a ratio of its first attempts. In addition, a floor allows one extra attempt
 // in 2 s, so that a node with few calls can retry at all. Budgets of NewProportionalBudget have a refill instead, which
 // SetRefill sets. A Budget is not safe for concurrent use.
 type Budget struct {
-	// tokens is the number of extra attempts that first attempts have earned, at most capacity.
+	// tokens is the number of extra attempts that first attempts have earned, at most capacity. It is negative while
+	// calls of repeated requests have used more than that.
 	tokens   float64
 	capacity float64
 	ratio    float64
@@ -64,6 +68,13 @@
 // Deposit adds what a first attempt earns.
 func (b *Budget) Deposit() { b.tokens = min(b.capacity, b.tokens+b.ratio) }
 
+// DepositCall adds what the first attempt of a call earns that an upstream makes while it runs a request. repeatedShare, from
+// 0 to 1, is the probability that this request is itself an extra attempt. The call then is one too, although no node
+// chose to make it, and what it uses cannot be used for retries.
+func (b *Budget) DepositCall(repeatedShare float64) {
+	b.tokens = max(-maxDebt, min(b.capacity, b.tokens+(1-repeatedShare)*b.ratio-repeatedShare))
+}
+
 // Refund puts back an extra attempt that was withdrawn and not made.
 func (b *Budget) Refund() { b.tokens = min(b.capacity, b.tokens+1) }
 
--- a/decision/retry/grey_test.go
+++ b/decision/retry/grey_test.go
@@ -13,7 +13,7 @@
 // again. Guards against budgets that leave most of the allowed extra attempts unused, because the slack of a large fleet
 // was divided once and never gained again, and against more extra attempts in a window than the bound.
 func TestSlackIsGainedAgain(t *testing.T) {
-	const window, ratio, boundRatio = 10 * time.Second, 0.12, 0.2
+	const window, ratio, boundRatio = 10 * time.Second, 0.16, 0.2
 	for _, fleet := range []struct {
 		nodes             int
 		requestsPerSecond float64
--- a/pkg/sidecar/budget.go
+++ b/pkg/sidecar/budget.go
@@ -20,8 +20,8 @@
 	usableSlackShare = 0.9
 	retryWindow      = 10 * time.Second
 	// ratioShare is the part of RetryBudgetRatio that requests earn. It is less than 1 because the bound also counts
-	// the attempts that upstreams make themselves and the calls that a repeated request makes.
-	ratioShare = 0.6
+	// the attempts that upstreams make themselves, and which calls belong to a repeated request is only estimated.
+	ratioShare = 0.8
 )
 
 // budgetLimits returns what the budget of one node may save up, and what it gains in a second, for its part of the
@@ -70,6 +70,14 @@
 	b.budgetOf(service, b.o.Clock.Now()).Deposit()
 }
 
+// countCall does the same for a call that the node's upstream makes, of whose running requests the given share are
+// repeated ones.
+func (b *retryBudgets) countCall(service string, repeatedShare float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budgetOf(service, b.o.Clock.Now()).DepositCall(repeatedShare)
+}
+
 // takeAttempt takes an extra attempt from the service's budget and reports whether there was one.
 func (b *retryBudgets) takeAttempt(service string, now time.Duration) bool {
 	b.mu.Lock()
--- a/pkg/sidecar/controller.go
+++ b/pkg/sidecar/controller.go
@@ -49,6 +49,8 @@
 	// leaving is true once the node refuses new work because it stops.
 	leaving            atomic.Bool
 	requestsInProgress atomic.Int64
+	// repeatsRunning counts the requests at the upstream that were sent to another one before.
+	repeatsRunning atomic.Int64
 }
 
 func newController(o *Options, budget *peer.BodyBudget) *controller {
@@ -182,10 +184,23 @@
 	if hedgeDelay := c.queue.hedgeDelay(metadata.route); metadata.hedgeable && hedgeDelay > 0 && hedgeDelay < metadata.remaining/2 {
 		watch.SlowAt = time.Now().Add(hedgeDelay)
 	}
+	if metadata.repeated {
+		c.repeatsRunning.Add(1)
+		defer c.repeatsRunning.Add(-1)
+	}
 	a, r.sample = c.sendToUpstream(metadata, r.deadline, req, resp, watch)
 	return a
 }
 
+// repeatedShare returns which share of the requests that run at the upstream, from 0 to 1, were sent to another one before.
+func (c *controller) repeatedShare() float64 {
+	running := c.queue.load().Running
+	if running == 0 {
+		return 0
+	}
+	return min(1, float64(c.repeatsRunning.Load())/float64(running))
+}
+
 // serve runs a request at the upstream, or refuses it.
 func (c *controller) serve(metadata *requestMetadata, arrived time.Duration, req *fasthttp.Request, resp *fasthttp.Response, watch *peer.Watch) attemptResult {
 	r, a := c.reserve(metadata, arrived, 0, watch, nil)
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -214,7 +214,11 @@
 // once if it would miss the latency objective. If none runs it, the overloaded upstream that expects the shortest wait
 // is asked to run it even if it responds after the objective.
 func (c *call) runAttempts(req *fasthttp.Request, resp *fasthttp.Response) result {
-	c.node.retryBudgets.countRequest(c.service)
+	if c.priority == nestedCallPriority {
+		c.node.retryBudgets.countCall(c.service, c.node.controller.repeatedShare())
+	} else {
+		c.node.retryBudgets.countRequest(c.service)
+	}
 	c.reachedUpstreams = map[string]bool{}
 	shortestWait, retryAfter := mesh.Upstream{}, time.Duration(-1)
 	rememberRefusal := func(u *mesh.Upstream, wait time.Duration) {
@@ -308,6 +312,7 @@
 		upstream: u.ID, route: c.route.Name, remaining: c.deadline - now - responseMargin, objective: c.objective - now,
 		priority: c.priority, idempotent: c.route.Idempotent, mustMeetObjective: mustMeetObjective, hedgeable: c.canHedge(u.ID),
 		costlyToMove: len(req.Body()) > askedBodyBytes && u.DataCentre == c.node.o.Settings.DataCentre,
+		repeated:     c.attemptsReceived > 0,
 	}
 	watch := &peer.Watch{Caller: c.caller}
 	if metadata.hedgeable {
--- a/pkg/sidecar/hedge_test.go
+++ b/pkg/sidecar/hedge_test.go
@@ -212,3 +212,22 @@
 	g.Expect(time.Since(started)).To(BeNumerically("<", callerCheckInterval/2))
 	g.Expect(c.awaitHedge(ended)).To(BeTrue())
 }
+
+// Guards against a node that takes the calls of a repeated request for those of a first attempt: the bound on extra
+// attempts counts them, and was broken by retries that were made beside them.
+func TestNodeKnowsRepeatedRequestsAtItsUpstream(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, patientRoute)
+	held := newGate()
+	m.upstreams[0].setHandler(shed)
+	m.upstreams[1].setHandler(held.serve)
+	m.nodes[0].o.View().Config.Routes[0].MaxAttempts = 2
+	first := m.dial()
+	first.sendText(requestText("GET", "/read/1", "repeated", "", withKey))
+	g.Eventually(held.hasArrived("repeated"), eventTimeout).Should(BeClosed())
+	g.Expect(m.nodes[1].controller.repeatedShare()).To(Equal(1.0))
+	g.Expect(m.nodes[0].controller.repeatedShare()).To(BeZero())
+	held.allow("repeated")
+	first.expectAnswer(g, "repeated", "")
+	g.Eventually(m.nodes[1].controller.repeatedShare, eventTimeout).Should(BeZero())
+}
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -18,7 +18,7 @@
 	hopHeader        = "Bamboodeal-Hop"
 	answerHeader     = "Bamboodeal-Answer"
 	separator        = ";"
-	hopFieldCount    = 9
+	hopFieldCount    = 10
 	answerFieldCount = 8
 )
 
@@ -44,6 +44,8 @@
 	// costlyToMove is true if the request has a large body and other upstreams are in other data centres, so that it may
 	// wait longer here.
 	costlyToMove bool
+	// repeated is true if another upstream has received the request. The calls that it makes count as extra attempts.
+	repeated bool
 }
 
 // setHeader writes the metadata into the header of a request to another node.
@@ -54,7 +56,7 @@
 	for _, n := range [...]int64{m.remaining.Milliseconds(), m.objective.Milliseconds(), int64(m.priority)} {
 		b = strconv.AppendInt(append(b, separator...), n, 10)
 	}
-	for _, flag := range [...]bool{m.idempotent, m.mustMeetObjective, m.hedgeable, m.costlyToMove} {
+	for _, flag := range [...]bool{m.idempotent, m.mustMeetObjective, m.hedgeable, m.costlyToMove, m.repeated} {
 		b = append(append(b, separator...), flagDigit(flag))
 	}
 	req.Header.SetBytesV(hopHeader, b)
@@ -86,6 +88,7 @@
 		mustMeetObjective: parts[6] == "1",
 		hedgeable:         parts[7] == "1",
 		costlyToMove:      parts[8] == "1",
+		repeated:          parts[9] == "1",
 	}, nil
 }
 
