--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -99,9 +99,8 @@
 	return u
 }
 
-// Rank returns the candidates in the order of the time in which they are expected to answer a request with a body of the
-// given size. Candidates that recently
-// did not answer, or whose health is unknown, come last.
+// Rank returns the candidates in the order of the time in which they are expected to answer a request with a body of
+// bodyBytes bytes. Candidates that recently did not answer, or whose health is unknown, come last.
 func (t *Table) Rank(now time.Duration, candidates []Candidate, bodyBytes int) []Candidate {
 	type ranked struct {
 		Candidate
