Make a test of repeated requests independent of the choice of upstream

Cause: TestNodeKnowsRepeatedRequestsAtItsUpstream expects that the upstream which sheds is asked first, but between two upstreams of equal load the choice is random.

Change: the node knows the other upstream as slow, so it asks the one that sheds first; the assertions are the same. Gates answer what they hold when their test ends.

--- a/pkg/sidecar/connserver_test.go
+++ b/pkg/sidecar/connserver_test.go
@@ -16,16 +16,22 @@
 	"github.com/bamboodeal/bamboodeal/pkg/mesh"
 )
 
-// gate lets a test decide when the upstream answers each request.
+// gate lets a test decide when the upstream answers each request. At the end of the test it answers all of them, so that a
+// test that fails does not wait for its upstream.
 type gate struct {
+	ended   chan struct{}
 	mu      sync.Mutex
 	arrived map[string]chan struct{}
 	answer  map[string]chan struct{}
 	left    map[string]chan struct{}
 }
 
-func newGate() *gate {
-	return &gate{arrived: map[string]chan struct{}{}, answer: map[string]chan struct{}{}, left: map[string]chan struct{}{}}
+func newGate(t *testing.T) *gate {
+	held := &gate{
+		ended: make(chan struct{}), arrived: map[string]chan struct{}{}, answer: map[string]chan struct{}{}, left: map[string]chan struct{}{},
+	}
+	t.Cleanup(func() { close(held.ended) })
+	return held
 }
 
 func (g *gate) channel(m map[string]chan struct{}, id string) chan struct{} {
@@ -41,7 +47,10 @@
 func (g *gate) serve(ctx *fasthttp.RequestCtx) {
 	id := string(ctx.Request.Header.Peek(headerNames.RequestID))
 	close(g.channel(g.arrived, id))
-	<-g.channel(g.answer, id)
+	select {
+	case <-g.channel(g.answer, id):
+	case <-g.ended:
+	}
 	if strings.HasPrefix(id, "fail") {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
@@ -75,7 +84,7 @@
 func TestPipelinedRequestsRunSideBySide(t *testing.T) {
 	g := NewWithT(t)
 	m := newTestMesh(t, 2, patientRoute)
-	held := newGate()
+	held := newGate(t)
 	for _, u := range m.upstreams {
 		u.setHandler(held.serve)
 	}
@@ -99,7 +108,7 @@
 func TestPipelinedRequestWithBodyRunsAlone(t *testing.T) {
 	g := NewWithT(t)
 	m := newTestMesh(t, 1, patientRoute)
-	held := newGate()
+	held := newGate(t)
 	m.upstreams[0].setHandler(held.serve)
 	c := m.dial()
 	c.sendText(requestText("GET", "/read/1", "a", "", withKey) + requestText("POST", "/write/1", "b", "GET / HTTP/1.1", withKey) +
@@ -148,7 +157,7 @@
 	t.Parallel()
 	g := NewWithT(t)
 	m := newTestMesh(t, 1, nil)
-	held := newGate()
+	held := newGate(t)
 	m.upstreams[0].setHandler(held.serve)
 	c := m.dial()
 	c.sendText(requestText("GET", "/inner/1", "a", "") + requestText("GET", "/inner/1", "b", "") + requestText("GET", "/inner/1", "c", ""))
@@ -233,7 +242,7 @@
 	const bodySize = 4 << 20
 	g := NewWithT(t)
 	m := newTestMesh(t, 1, patientRoute)
-	held := newGate()
+	held := newGate(t)
 	m.upstreams[0].setHandler(held.serve)
 	limit := int64(defaultMemoryLimit) * requestBodiesPercent / 100
 	fitting := int(limit / bodySize)
--- a/pkg/sidecar/hedge_test.go
+++ b/pkg/sidecar/hedge_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bamboodeal/bamboodeal/decision/slots"
 	"github.com/bamboodeal/bamboodeal/pkg/mesh"
 )
 
@@ -218,10 +219,12 @@
 func TestNodeKnowsRepeatedRequestsAtItsUpstream(t *testing.T) {
 	g := NewWithT(t)
 	m := newTestMesh(t, 2, patientRoute)
-	held := newGate()
+	held := newGate(t)
 	m.upstreams[0].setHandler(shed)
 	m.upstreams[1].setHandler(held.serve)
 	m.nodes[0].o.View().Config.Routes[0].MaxAttempts = 2
+	// The upstream that sheds is asked first. Between upstreams that seem equally fast the choice is random.
+	m.nodes[0].recordResult(m.upstreams[1].id, 0, attemptResult{load: slots.Load{Slots: 4, MeanServiceTime: time.Second}})
 	first := m.dial()
 	first.sendText(requestText("GET", "/read/1", "repeated", "", withKey))
 	g.Eventually(held.hasArrived("repeated"), eventTimeout).Should(BeClosed())
--- a/pkg/sidecar/silence_test.go
+++ b/pkg/sidecar/silence_test.go
@@ -96,7 +96,7 @@
 	g := NewWithT(t)
 	m := newTestMesh(t, 2, patientRoute)
 	m.useOnlyUpstream(1)
-	held := newGate()
+	held := newGate(t)
 	m.upstreams[1].setHandler(held.serve)
 	for i := range 5 {
 		c := m.dial()
