Spend less memory and processor time on idle connections, rankings and log lines

Rank returns indexes and uses its memory again. The expression runs only over texts with white space, which it requires. Queued log lines are written together, up to 4 KB.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -2,8 +2,9 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -85,6 +86,15 @@
 type Table struct {
 	upstreams map[string]*upstreamState
 	rand      *rand.Rand
+	// ranked is the memory of the last call of Rank, which the next one uses again.
+	ranked []rankedCandidate
+}
+
+// rankedCandidate is a candidate, by its index, with what its place depends on.
+type rankedCandidate struct {
+	index     int
+	cost      time.Duration
+	inBackoff bool
 }
 
 // NewTable returns an empty table.
@@ -99,16 +109,11 @@
 	return u
 }
 
-// Rank returns the candidates in the order of the time in which they are expected to answer a request with a body of
-// bodyBytes bytes. Candidates that recently did not answer, or whose health is unknown, come last.
-func (t *Table) Rank(now time.Duration, candidates []Candidate, bodyBytes int) []Candidate {
-	type ranked struct {
-		Candidate
-		cost      time.Duration
-		inBackoff bool
-	}
-	list := make([]ranked, 0, len(candidates))
-	for _, c := range candidates {
+// Rank returns the indexes of the candidates in the order of the time in which they are expected to answer a request with
+// a body of bodyBytes bytes. Candidates that recently did not answer, or whose health is unknown, come last.
+func (t *Table) Rank(now time.Duration, candidates []Candidate, bodyBytes int) []int {
+	list := t.ranked[:0]
+	for i, c := range candidates {
 		u := t.upstream(c.ID)
 		cost := u.expectedTime(now)
 		if !c.SameDataCentre {
@@ -116,19 +121,23 @@
 		}
 		// A small random part keeps nodes from all choosing the same upstream at the same time.
 		cost += time.Duration(t.rand.Float64() * float64(time.Millisecond))
-		list = append(list, ranked{c, cost, now < u.backoffUntil})
+		list = append(list, rankedCandidate{i, cost, now < u.backoffUntil})
 	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].inBackoff != list[j].inBackoff {
-			return !list[i].inBackoff
+	slices.SortFunc(list, func(a, b rankedCandidate) int {
+		if a.inBackoff != b.inBackoff {
+			if b.inBackoff {
+				return -1
+			}
+			return 1
 		}
-		return list[i].cost < list[j].cost
+		return cmp.Compare(a.cost, b.cost)
 	})
-	ordered := make([]Candidate, 0, len(list))
-	for _, r := range list {
-		ordered = append(ordered, r.Candidate)
+	t.ranked = list
+	order := make([]int, len(list))
+	for i, r := range list {
+		order[i] = r.index
 	}
-	return ordered
+	return order
 }
 
 // expectedTime estimates the time until an answer from the upstream.
--- a/pkg/logging/async.go
+++ b/pkg/logging/async.go
@@ -11,6 +11,8 @@
 const (
 	// maxQueuedLines bounds the lines that wait for the output. A full queue takes a few hundred kilobytes.
 	maxQueuedLines = 1024
+	// maxWriteSize is the size in bytes from which no further line is added to a write.
+	maxWriteSize = 4 << 10
 	// closeTimeout bounds the wait of Close for an output that stalls.
 	closeTimeout = 300 * time.Millisecond
 )
@@ -60,9 +62,26 @@
 		if n := w.dropped.Swap(0); n > 0 {
 			w.write([]byte(fmt.Sprintf(`{"level":"warning","lines":%d,"msg":"dropped log lines because the output stalled"}`+"\n", n)))
 		}
-		w.write(line)
+		w.write(w.withQueuedLines(line))
 	}
 }
 
+// withQueuedLines appends the lines that are already queued to a line, up to maxWriteSize, because each write is a system
+// call.
+func (w *AsyncWriter) withQueuedLines(line []byte) []byte {
+	for len(line) < maxWriteSize {
+		select {
+		case next, open := <-w.lines:
+			if !open {
+				return line
+			}
+			line = append(line, next...)
+		default:
+			return line
+		}
+	}
+	return line
+}
+
 // write ignores errors, because a failure of the log output cannot be reported anywhere else.
 func (w *AsyncWriter) write(line []byte) { _, _ = w.out.Write(line) }
--- a/pkg/logging/redact.go
+++ b/pkg/logging/redact.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"strings"
+	"unicode"
 
 	"github.com/sirupsen/logrus"
 )
@@ -49,7 +50,11 @@
 }
 
 func (r *redactor) redact(s string) string {
-	s = credentials.ReplaceAllString(s, "$1 "+RedactedText)
+	// Most names and values are single words, which cannot hold credentials. The expression is slow compared with the rest
+	// of a line.
+	if strings.IndexFunc(s, unicode.IsSpace) >= 0 {
+		s = credentials.ReplaceAllString(s, "$1 "+RedactedText)
+	}
 	if r.isKey == nil {
 		return s
 	}
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -64,8 +64,8 @@
 	pool    *Pool
 	address string
 	netConn net.Conn
-	reader  *bufio.Reader
-	writer  *bufio.Writer
+	// connBuffers is nil while the connection is idle.
+	*connBuffers
 	// written counts the bytes of the current request that the kernel accepted.
 	written  int
 	lastUsed time.Duration
@@ -85,10 +85,7 @@
 }
 
 func newConn(p *Pool, address string, netConn net.Conn) *Conn {
-	c := &Conn{pool: p, address: address, netConn: netConn, probe: newSocketProbe(netConn), keepAlive: p.options.IdleTimeout}
-	c.reader = bufio.NewReaderSize(responseReader{c}, readBufferSize)
-	c.writer = bufio.NewWriterSize(countingWriter{c}, writeBufferSize)
-	return c
+	return &Conn{pool: p, address: address, netConn: netConn, probe: newSocketProbe(netConn), keepAlive: p.options.IdleTimeout}
 }
 
 // countingWriter counts the bytes that the kernel accepted, because a call of which any byte left this node may have
@@ -110,6 +107,7 @@
 // exchange sends req and reads the complete response into resp before the deadline. After an error the response must
 // not be used and the connection must be closed. watch may be nil.
 func (c *Conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, watch *Watch, maxBodyBytes int) error {
+	c.takeBuffers()
 	c.written = 0
 	if err := c.netConn.SetDeadline(deadline); err != nil {
 		return err
@@ -324,7 +322,7 @@
 
 // hasResponseBytes reports whether bytes of the response have arrived.
 func (c *Conn) hasResponseBytes() bool {
-	return c.reader.Buffered() > 0 || (c.probe.update() == nil && c.probe.open && !c.probe.idle)
+	return c.hasBufferedBytes() || (c.probe.update() == nil && c.probe.open && !c.probe.idle)
 }
 
 // readResponse reads the final response and its complete body. Unless allowCloseDelimited is set, it refuses a body
--- a/pkg/peer/idle.go
+++ b/pkg/peer/idle.go
@@ -5,7 +5,7 @@
 // canStayIdle reports whether an idle connection can be used again: it was not idle for too long, is open, and no bytes
 // arrived on it.
 func (c *Conn) canStayIdle(now time.Duration) bool {
-	return now-c.lastUsed < min(c.pool.options.IdleTimeout, c.keepAlive) && c.reader.Buffered() == 0 && c.probe.isIdle()
+	return now-c.lastUsed < min(c.pool.options.IdleTimeout, c.keepAlive) && !c.hasBufferedBytes() && c.probe.isIdle()
 }
 
 // CloseUnusableConnections closes the idle connections that will not be used again: those that were idle for too long,
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -101,6 +101,8 @@
 	dialer  net.Dialer
 	mu      sync.Mutex
 	hosts   map[string]*host
+	// spareBuffers are not in use by a connection.
+	spareBuffers []*connBuffers
 }
 
 // host holds the state of the connections to one address.
@@ -335,6 +337,9 @@
 
 // putIdle adds a connection to the idle connections of its address.
 func (p *Pool) putIdle(c *Conn) {
+	if !c.hasBufferedBytes() {
+		c.returnBuffers()
+	}
 	c.lastUsed = p.options.Clock.Now()
 	c.maxBodyBytes, c.bodyWhenAsked = 0, false
 	p.mu.Lock()
@@ -381,6 +386,7 @@
 // closeConn closes a connection that is not idle.
 func (p *Pool) closeConn(c *Conn) {
 	_ = c.netConn.Close()
+	c.returnBuffers()
 	p.decrementOpen(c.address)
 }
 
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -260,18 +260,18 @@
 // candidates returns the upstreams of the service in the order in which they are asked for a request with a body of the
 // given size.
 func (c *call) candidates(bodyBytes int) []*mesh.Upstream {
-	byID := map[string]*mesh.Upstream{}
-	var list []placement.Candidate
-	for _, u := range c.view.UpstreamsByService[c.service] {
+	all := c.view.UpstreamsByService[c.service]
+	usable, list := make([]*mesh.Upstream, 0, len(all)), make([]placement.Candidate, 0, len(all))
+	for _, u := range all {
 		if u.Draining || c.view.EvacuatedDataCentres[u.DataCentre] {
 			continue
 		}
-		byID[u.ID] = u
+		usable = append(usable, u)
 		list = append(list, placement.Candidate{ID: u.ID, SameDataCentre: u.DataCentre == c.node.o.Settings.DataCentre})
 	}
-	ordered := make([]*mesh.Upstream, 0, len(list))
-	for _, candidate := range c.node.orderCandidates(list, bodyBytes) {
-		ordered = append(ordered, byID[candidate.ID])
+	ordered := make([]*mesh.Upstream, 0, len(usable))
+	for _, i := range c.node.orderCandidates(list, bodyBytes) {
+		ordered = append(ordered, usable[i])
 	}
 	return ordered
 }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -368,9 +368,9 @@
 	}
 }
 
-// orderCandidates returns the candidates in the order in which to ask them. The load of the node's own upstream is up
+// orderCandidates returns the indexes of the candidates in the order in which to ask them. The load of the node's own upstream is up
 // to date.
-func (n *Node) orderCandidates(list []placement.Candidate, bodyBytes int) []placement.Candidate {
+func (n *Node) orderCandidates(list []placement.Candidate, bodyBytes int) []int {
 	now := n.o.Clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
