Calculate holders and readers only when the mesh changes

Cause: each new view hashed all VMs for all teams (295 x 190, 2.9 ms), each lease request ranked all VMs (87 us), and each read of a feed grouped, hashed and sorted them (200 us). Nodes made a new view for each batch of entries, also if nothing in it had changed.

Change: a HolderIndex costs a hash for each team when a VM joins; the order behind the first holder is calculated only if that one does not answer. A registry says whether an entry changed the view. The members and the readers are kept from one read to the next. VMs with equal hashes are now ordered by name everywhere, as a list sorted by name gave it before.

Ruled out: a cheaper hash, because nodes of two releases would disagree on the holders and grant a team's rate twice.

--- a/decision/allowance/allowance.go
+++ b/decision/allowance/allowance.go
@@ -15,8 +15,6 @@
 	"math"
 	"sort"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -59,9 +57,9 @@
 func RankedHolders(team string, vms []string) []string {
 	ranked := make([]rankedVM, 0, len(vms))
 	for _, vm := range vms {
-		ranked = append(ranked, rankedVM{vm, xxhash.Sum64String(vm + "/" + team)})
+		ranked = append(ranked, rankVM(team, vm))
 	}
-	sort.Slice(ranked, func(i, j int) bool { return ranked[i].hash > ranked[j].hash })
+	sort.Slice(ranked, func(i, j int) bool { return ranked[i].before(ranked[j]) })
 	names := make([]string, 0, len(vms))
 	for _, h := range ranked {
 		names = append(names, h.vm)
@@ -71,13 +69,13 @@
 
 // Holder returns the first VM of RankedHolders, or "" if there are no VMs.
 func Holder(team string, vms []string) string {
-	best, highest := "", uint64(0)
+	best := rankedVM{}
 	for _, vm := range vms {
-		if h := xxhash.Sum64String(vm + "/" + team); best == "" || h > highest {
-			best, highest = vm, h
+		if candidate := rankVM(team, vm); best.vm == "" || candidate.before(best) {
+			best = candidate
 		}
 	}
-	return best
+	return best.vm
 }
 
 // rankedVM is a VM with its rendezvous hash for a team.
--- a/decision/sources/readers.go
+++ b/decision/sources/readers.go
@@ -91,6 +91,11 @@
 	readerFailures uint64
 	// nextRendezvous is when this node next reads from the rendezvous VM (see rendezvousVM).
 	nextRendezvous time.Duration
+	// members are those of the last call of Next. readers and rendezvous follow from them and are kept, because finding
+	// them hashes each VM of the mesh several times, and the members rarely change between two reads.
+	members    []Member
+	readers    []Member
+	rendezvous string
 }
 
 // NewSelector returns the selector of the node on a VM in the given data centre.
@@ -101,8 +106,12 @@
 // Next returns the source to read from now: the store, or the VM of another node. If all sources failed recently it
 // returns the store.
 func (s *Selector) Next(now time.Duration, members []Member) string {
-	order := s.orderSources(now, members)
-	if vm := s.rendezvousVM(members); vm != Store && now >= s.nextRendezvous && now >= s.backoffUntil[vm] {
+	if s.readers == nil || !slices.Equal(members, s.members) {
+		s.members = slices.Clone(members)
+		s.readers, s.rendezvous = Readers(members, s.dataCentre), s.rendezvousVM(members)
+	}
+	order := s.orderSources(now)
+	if vm := s.rendezvous; vm != Store && now >= s.nextRendezvous && now >= s.backoffUntil[vm] {
 		s.nextRendezvous = now + rotationInterval
 		return vm
 	}
@@ -119,8 +128,8 @@
 // data centre follow one with a wide link in another data centre. Readers follow remote readers with narrow links only
 // while the store does not answer, because these might follow them in turn. Two readers that follow each other notice
 // it by the age of their data.
-func (s *Selector) orderSources(now time.Duration, members []Member) []string {
-	readers := Readers(members, s.dataCentre)
+func (s *Selector) orderSources(now time.Duration) []string {
+	readers := s.readers
 	self, local, wide, narrow := -1, []string(nil), []string(nil), []string(nil)
 	for i, r := range readers {
 		switch {
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -72,6 +72,7 @@
 	storeLost bool
 	// readEverything makes the next read return all entries.
 	readEverything bool
+	lastMembers    membersOfView
 
 	mu   sync.Mutex
 	feed *Feed
@@ -239,15 +240,27 @@
 	return p
 }
 
-// members returns the VMs of the view, with their wide links as far as they are known.
+// members returns the VMs of the view, with their wide links as far as they are known. They are the same at most reads, so
+// the last result is kept. Only the goroutine of Run uses it.
 func (s *Syncer) members() []sources.Member {
-	members := s.View().Members()
+	view := s.View()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range members {
-		members[i].WideLink = s.wideLinks[members[i].VM]
+	if digest := s.wideLinks.digest(); s.lastMembers.view != view || s.lastMembers.wideLinksDigest != digest {
+		members := view.Members()
+		for i := range members {
+			members[i].WideLink = s.wideLinks[members[i].VM]
+		}
+		s.lastMembers = membersOfView{view, digest, members}
 	}
-	return members
+	return s.lastMembers.members
+}
+
+// membersOfView is the result of Syncer.members for a view and a set of wide links.
+type membersOfView struct {
+	view            *View
+	wideLinksDigest uint64
+	members         []sources.Member
 }
 
 func (s *Syncer) read(results chan<- readResult, name string, after Position, wait time.Duration) {
@@ -304,12 +317,13 @@
 		s.options.Log.WithError(err).WithField("source", result.source).Warn("a patch does not fit; reading all entries again")
 		s.readEverything = true
 	}
+	viewChanged := false
 	for _, e := range entries {
-		if change, ok := s.options.Decode(e); ok {
-			s.registry.Apply(now, change)
+		if change, ok := s.options.Decode(e); ok && s.registry.Apply(now, change) {
+			viewChanged = true
 		}
 	}
-	if len(entries) > 0 {
+	if viewChanged {
 		s.publish()
 	}
 }
--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -2,7 +2,8 @@
 
 import (
 	"net"
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/bamboodeal/bamboodeal/decision/sources"
@@ -44,6 +45,14 @@
 	return u.Sequence < other.Sequence
 }
 
+// sameInView reports whether two entries of an upstream differ only in what views do not show: an upstream reports to the
+// store every heartbeat, and nearly all of these reports change nothing else.
+func (u *Upstream) sameInView(other *Upstream) bool {
+	a, b := *u, *other
+	a.Sequence, a.ColdRemaining = b.Sequence, b.ColdRemaining
+	return a == b
+}
+
 // Change is one change of the contents of the store. Exactly one field is set.
 type Change struct {
 	Config   *Config
@@ -126,50 +135,60 @@
 	return r.lastContact > 0 && !r.recovering && now-r.firstContact >= expiredEntryGrace && now-r.lastContact <= r.outageTime
 }
 
-// Apply applies one change.
-func (r *Registry) Apply(now time.Duration, c Change) {
+// Apply applies one change and reports whether the view changed.
+func (r *Registry) Apply(now time.Duration, c Change) bool {
 	switch {
 	case c.Config != nil:
-		r.adoptConfig(c.Config)
+		return r.adoptConfig(c.Config)
 	case c.Upstream != nil:
-		r.putUpstream(c.Upstream)
+		return r.putUpstream(c.Upstream)
 	case c.RemovedUpstream != "":
-		r.removeUpstream(now, c.RemovedUpstream)
+		return r.removeUpstream(now, c.RemovedUpstream)
 	case c.EvacuatedDataCentre != "":
+		known := r.evacuated[c.EvacuatedDataCentre]
 		r.evacuated[c.EvacuatedDataCentre] = true
+		return !known
 	case c.RestoredDataCentre != "":
+		known := r.evacuated[c.RestoredDataCentre]
 		delete(r.evacuated, c.RestoredDataCentre)
+		return known
 	}
+	return false
 }
 
 // adoptConfig adopts a configuration if its version is higher than the current one. A lower one can arrive later,
 // because the answers of different sources may arrive in any order.
-func (r *Registry) adoptConfig(c *Config) {
-	if c != nil && (r.config == nil || c.Version > r.config.Version) {
+func (r *Registry) adoptConfig(c *Config) bool {
+	newer := r.config == nil || c.Version > r.config.Version
+	if newer {
 		r.config = c
 	}
+	return newer
 }
 
-func (r *Registry) putUpstream(u *Upstream) {
+func (r *Registry) putUpstream(u *Upstream) bool {
 	if known := r.latestReports[u.ID]; known != nil && u.isOlderThan(known) {
-		return
+		return false
 	}
 	r.latestReports[u.ID] = u
+	known := r.upstreams[u.ID]
 	r.upstreams[u.ID] = &registration{upstream: u}
+	return known == nil || !u.sameInView(known.upstream)
 }
 
-func (r *Registry) removeUpstream(now time.Duration, id string) {
+func (r *Registry) removeUpstream(now time.Duration, id string) bool {
 	e := r.upstreams[id]
 	if e == nil {
-		return
+		return false
 	}
 	if r.recovering && now < r.recoveredAt+expiredEntryGrace && !e.upstream.Draining {
 		if e.removeAt == 0 {
 			e.removeAt = r.recoveredAt + expiredEntryGrace
 		}
-		return
+		return false
 	}
 	delete(r.upstreams, id)
+	return true
 }
 
 // ApplyDueRemovals removes the entries whose removal was delayed and is due now, and reports whether the view changed.
@@ -210,12 +229,12 @@
 		}
 	}
 	for _, list := range v.UpstreamsByService {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+		slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
 	for ip := range vms {
 		v.VMs = append(v.VMs, ip)
 	}
-	sort.Strings(v.VMs)
+	slices.Sort(v.VMs)
 	return v
 }
 
--- a/pkg/mesh/registry_test.go
+++ b/pkg/mesh/registry_test.go
@@ -148,3 +148,27 @@
 	r.RecordContact(10*time.Second, false)
 	g.Expect(r.ContactUninterrupted(10 * time.Second)).To(BeFalse())
 }
+
+// Guards against nodes that make a new view, and calculate all that follows from it, for each report of each upstream:
+// in a mesh of 295 upstreams there are some 200 reports a second that change nothing else.
+func TestReportWithoutNewsLeavesViewAsItIs(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry(ownAddress, heartbeat)
+	g.Expect(r.Apply(0, Change{Upstream: newUpstream("a", 1, 1)})).To(BeTrue())
+	report := newUpstream("a", 1, 2)
+	report.ColdRemaining = time.Second
+	g.Expect(r.Apply(0, Change{Upstream: report})).To(BeFalse())
+	g.Expect(r.Apply(0, Change{Upstream: newUpstream("a", 1, 1)})).To(BeFalse(), "late")
+	draining := newUpstream("a", 1, 3)
+	draining.Draining = true
+	g.Expect(r.Apply(0, Change{Upstream: draining})).To(BeTrue())
+	g.Expect(r.View().OwnUpstream.Draining).To(BeTrue())
+	g.Expect(r.Apply(0, Change{Upstream: newUpstream("a", 2, 1)})).To(BeTrue(), "restarted")
+	g.Expect(r.Apply(0, Change{RemovedUpstream: "a"})).To(BeTrue())
+	g.Expect(r.Apply(0, Change{RemovedUpstream: "a"})).To(BeFalse())
+	g.Expect(r.Apply(0, Change{EvacuatedDataCentre: "north"})).To(BeTrue())
+	g.Expect(r.Apply(0, Change{EvacuatedDataCentre: "north"})).To(BeFalse())
+	g.Expect(r.Apply(0, Change{RestoredDataCentre: "north"})).To(BeTrue())
+	g.Expect(r.Apply(0, Change{Config: &Config{Version: 2}})).To(BeTrue())
+	g.Expect(r.Apply(0, Change{Config: &Config{Version: 1}})).To(BeFalse())
+}
--- a/pkg/sidecar/lease.go
+++ b/pkg/sidecar/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"iter"
 	"slices"
 	"sync"
 	"syscall"
@@ -72,13 +73,18 @@
 
 	storeContact allowance.StoreContactPolicy
 
+	// config and vms are those of the last view. Only updateView uses them.
+	config *mesh.Config
+	vms    []string
+
 	// holderMu guards the state as a holder, which is buckets and holderConfirmation. mu guards the state as a
-	// borrower.
+	// borrower. mu is locked first.
 	holderMu           sync.Mutex
 	buckets            *allowance.Buckets
 	holderConfirmation *allowance.HolderConfirmation
 
 	mu        sync.Mutex
+	holders   *allowance.HolderIndex
 	borrowers map[string]*borrowerState
 	// unresponsive has the holders that do not answer, by VM.
 	unresponsive map[string]*unresponsiveHolder
@@ -105,8 +111,8 @@
 	contact := allowance.StoreContactPolicy{HeartbeatInterval: o.Settings.HeartbeatInterval}
 	return &teamLimiter{
 		o: o, pool: pool, ownVM: ownIP, peerPort: port, storeContact: contact, buckets: allowance.NewBuckets(),
-		holderConfirmation: allowance.NewHolderConfirmation(contact),
-		borrowers:          map[string]*borrowerState{}, unresponsive: map[string]*unresponsiveHolder{},
+		holderConfirmation: allowance.NewHolderConfirmation(contact), holders: allowance.NewHolderIndex(),
+		borrowers: map[string]*borrowerState{}, unresponsive: map[string]*unresponsiveHolder{},
 	}
 }
 
@@ -115,17 +121,28 @@
 	if v.Config == nil {
 		return
 	}
-	var teams []string
+	if v.Config == l.config && slices.Equal(v.VMs, l.vms) {
+		return
+	}
+	l.config, l.vms = v.Config, v.VMs
+	limited := make([]string, 0, len(v.Config.Teams))
 	for _, team := range v.Config.Teams {
-		if team.Rate > 0 && allowance.Holder(team.Name, v.VMs) == l.ownVM {
-			teams = append(teams, team.Name)
+		if team.Rate > 0 {
+			limited = append(limited, team.Name)
 		}
 	}
-	l.holderMu.Lock()
-	l.buckets.SetHeldTeams(l.o.Clock.Now(), teams)
-	l.holderMu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.holders.Update(limited, v.VMs)
+	var held []string
+	for _, team := range limited {
+		if l.holders.Holder(team) == l.ownVM {
+			held = append(held, team)
+		}
+	}
+	l.holderMu.Lock()
+	l.buckets.SetHeldTeams(l.o.Clock.Now(), held)
+	l.holderMu.Unlock()
 	for vm := range l.unresponsive {
 		if !slices.Contains(v.VMs, vm) {
 			delete(l.unresponsive, vm)
@@ -239,7 +256,7 @@
 // so the VM that ranks next is the holder instead. A holder that does not answer may still grant tokens to other nodes,
 // so the VM that ranks next is only its substitute and grants less.
 func (l *teamLimiter) requestLease(now time.Duration, limit allowance.Limit, request leaseRequest) (leaseResponse, error) {
-	for _, holder := range allowance.RankedHolders(request.Team, l.o.View().VMs) {
+	for holder := range l.holdersOf(request.Team) {
 		resp, err := l.askHolder(now, holder, limit, request)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
@@ -255,6 +272,29 @@
 	return leaseResponse{}, peer.ErrNodeUnresponsive
 }
 
+// holdersOf returns the VMs in the order of allowance.RankedHolders. The order behind the first one, which nearly always
+// answers, is calculated only when it is needed.
+func (l *teamLimiter) holdersOf(team string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		l.mu.Lock()
+		first := l.holders.Holder(team)
+		l.mu.Unlock()
+		vms := l.o.View().VMs
+		if !slices.Contains(vms, first) {
+			// The view is newer than the index.
+			first = ""
+		}
+		if first != "" && !yield(first) {
+			return
+		}
+		for _, vm := range allowance.RankedHolders(team, vms) {
+			if vm != first && !yield(vm) {
+				return
+			}
+		}
+	}
+}
+
 // askNamedHolder asks the holder that was named by a node with a newer list of VMs.
 func (l *teamLimiter) askNamedHolder(
 	now time.Duration, holder string, limit allowance.Limit, request leaseRequest,
