Don't take an empty new bucket for a team over its limit

Cause: the bucket of a new holder starts empty. A holder without tokens counts as the sign of a team over its limit, and for the next second a node then refuses what has more requests ahead of it than the node was granted, which was nothing.

Change: a holder says that its bucket is too new to have been full. The borrower waits for such a bucket as before, but does not count the team as limited. The holder grants no more than before.

TestEmptyNewBucketDoesNotMakeTeamLimited fails without the flag.

--- a/decision/allowance/allowance.go
+++ b/decision/allowance/allowance.go
@@ -36,6 +36,8 @@
 	isolatedShare = 0.55
 	// substituteTime is how long a substitute keeps a bucket of which no tokens are requested.
 	substituteTime = 2 * time.Second
+	// maxFillTime bounds the time for which a new bucket counts as filling, also if its burst is many times its rate.
+	maxFillTime = 2 * time.Second
 	// recentlyLimitedTime is how long a team counts as over its limit after its holder had no tokens. It equals the window
 	// over which the limits are checked.
 	recentlyLimitedTime = 5 * time.Second
@@ -96,6 +98,7 @@
 type bucket struct {
 	tokens    float64
 	updatedAt time.Duration
+	createdAt time.Duration
 }
 
 // NewBuckets returns the buckets of a node that holds no team.
@@ -110,17 +113,28 @@
 	for _, team := range teams {
 		held[team] = true
 		if !b.heldTeams[team] {
-			b.buckets[team] = &bucket{updatedAt: now}
+			b.buckets[team] = &bucket{updatedAt: now, createdAt: now}
 		}
 	}
 	b.heldTeams = held
 }
 
+// Filling reports whether the bucket of a team is too new to have been full. That it has no tokens then does not show that
+// the team is over its limit.
+func (b *Buckets) Filling(now time.Duration, team string, l Limit) bool {
+	held := b.buckets[team]
+	if held == nil || l.Rate <= 0 {
+		return false
+	}
+	fillTime := time.Duration(l.Burst / l.Rate * float64(time.Second))
+	return now-held.createdAt < min(fillTime, maxFillTime)
+}
+
 // Lease grants up to want tokens of a team. If it grants none, retry is the time until there may be one.
 func (b *Buckets) Lease(now time.Duration, team string, l Limit, want int) (granted int, retry time.Duration) {
 	held := b.buckets[team]
 	if held == nil || (!b.heldTeams[team] && now-held.updatedAt > substituteTime) {
-		held = &bucket{updatedAt: now}
+		held = &bucket{updatedAt: now, createdAt: now}
 		b.buckets[team] = held
 	}
 	held.tokens = min(max(l.Burst, 1), held.tokens+l.Rate*(now-held.updatedAt).Seconds())
@@ -206,13 +220,14 @@
 	return b.recentlyGranted * math.Exp(-float64(now-b.grantedAt)/float64(grantWindow))
 }
 
-// HandleLeaseAnswer takes the answer to a request for tokens that was sent at the time asked. That a substitute has no
-// tokens does not show that the team is over its limit. A holder whose configuration has no limit for the team, or not
+// HandleLeaseAnswer takes the answer to a request for tokens that was sent at the time asked. If inconclusive is true, an
+// answer without tokens does not show that the team is over its limit: it comes from a substitute, or from a bucket that is
+// still filling. A holder whose configuration has no limit for the team, or not
 // the team, grants nothing and states no retry time; it is asked again after minRetryDelay.
-func (b *Borrower) HandleLeaseAnswer(asked time.Duration, granted int, retry time.Duration, substitute bool) {
+func (b *Borrower) HandleLeaseAnswer(asked time.Duration, granted int, retry time.Duration, inconclusive bool) {
 	if granted == 0 {
 		b.holderEmptyUntil = asked + max(retry, minRetryDelay)
-		if !substitute {
+		if !inconclusive {
 			b.lastLimitedAt = asked
 		}
 		return
--- a/decision/allowance/allowance_test.go
+++ b/decision/allowance/allowance_test.go
@@ -217,3 +217,31 @@
 	g.Expect(b.HolderEmptyFor(asked)).To(Equal(minRetryDelay))
 	g.Expect(b.TokensToBorrow(asked+minRetryDelay, 1)).To(Equal(1))
 }
+
+// Load: a pipelining caller sends 16 requests in the first milliseconds of a holder, whose bucket starts empty, for a team
+// that is far within its limit. Guards against refusing them, for up to a second, as those of a team over its limit.
+func TestEmptyNewBucketDoesNotMakeTeamLimited(t *testing.T) {
+	g := NewWithT(t)
+	limit := Limit{Rate: 1000, Burst: 1000}
+	buckets, node := NewBuckets(), &Borrower{}
+	start := time.Second
+	buckets.SetHeldTeams(start, []string{"red"})
+	ask := func(now time.Duration, waiting int) int {
+		granted, retry := buckets.Lease(now, "red", limit, node.TokensToBorrow(now, waiting))
+		node.HandleLeaseAnswer(now, granted, retry, buckets.Filling(now, "red", limit))
+		return granted
+	}
+	g.Expect(ask(start, 1)).To(BeZero())
+	for ahead := range 16 {
+		g.Expect(node.Exhausted(start, ahead, 200*time.Millisecond)).To(BeFalse(), "%d ahead", ahead)
+	}
+	g.Expect(node.RecentlyLimited(start)).To(BeFalse())
+	g.Expect(ask(start+node.HolderEmptyFor(start), 16)).To(Equal(16))
+	// Once the bucket has had the time to fill, an empty one shows that the team is over its limit.
+	later := start + 2*time.Second
+	for ask(later, 500) > 0 {
+		continue
+	}
+	g.Expect(node.RecentlyLimited(later)).To(BeTrue())
+	g.Expect(node.Exhausted(later, 500, 200*time.Millisecond)).To(BeTrue())
+}
--- a/pkg/sidecar/lease.go
+++ b/pkg/sidecar/lease.go
@@ -58,6 +58,8 @@
 	RetryMS int64 `json:"r,omitempty"`
 	// FromSubstitute is true if the granting node is a substitute for the holder.
 	FromSubstitute bool `json:"u,omitempty"`
+	// Filling is true if the bucket is too new to have been full.
+	Filling bool `json:"n,omitempty"`
 	// CurrentHolder is set instead of a grant if the sender's list of VMs is out of date and another VM is the holder
 	// now.
 	CurrentHolder string `json:"h,omitempty"`
@@ -226,7 +228,7 @@
 		if err != nil {
 			l.decideByOwnShare(limit, b)
 		} else {
-			b.HandleLeaseAnswer(now, resp.Granted, retry, resp.FromSubstitute)
+			b.HandleLeaseAnswer(now, resp.Granted, retry, resp.FromSubstitute || resp.Filling)
 			l.admitWaiting(b)
 		}
 		l.mu.Unlock()
@@ -387,7 +389,7 @@
 		limit = limit.Reduced()
 	}
 	granted, retry := l.buckets.Lease(now, request.Team, limit, request.Tokens)
-	return leaseResponse{Granted: granted, RetryMS: retry.Milliseconds()}
+	return leaseResponse{Granted: granted, RetryMS: retry.Milliseconds(), Filling: l.buckets.Filling(now, request.Team, limit)}
 }
 
 // grantAsSubstitute answers in place of a holder that does not answer the sender. If this node reaches the holder, it
