Call the store at most four times a second from a reader

Cause: a reader of the store calls it again 100 ms after the last call if something changed.

Change: 250 ms between the starts of two reads of the store; between nodes it stays 100 ms. A read waits at the store nearly always, so a single change is passed on as fast as before; the second of two changes within 250 ms waits up to 150 ms longer. Versions, drains and evacuations have 2 to 5 s.

Ruled out for now: one reader for all data centres, which changes what a data centre that is cut off follows; and longer waits at the store, from which followers learn that a reader lost it.

--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -22,8 +22,11 @@
 	// reader may be older by this wait, and the data of its followers by their own wait in addition.
 	relayReadWait = 150 * time.Millisecond
 	// minReadInterval is the shortest time between the starts of two reads, so that a series of changes needs few
-	// calls. It is a small part of the 2 s within which a version has to be in force.
-	minReadInterval = 100 * time.Millisecond
+	// calls. It is a small part of the 2 s within which a version has to be in force. minStoreReadInterval is the same for
+	// reads of the store, whose calls are billed. A change that follows no other one is not delayed by it, because a read
+	// then waits at the store already.
+	minReadInterval      = 100 * time.Millisecond
+	minStoreReadInterval = 250 * time.Millisecond
 	// startReadInterval is the same for a node that reads the store while its own upstream is not yet registered.
 	startReadInterval = 500 * time.Millisecond
 	// initialRetryDelay and maxRetryDelay bound the delay after a failed read. The delay doubles with each failed read
@@ -221,10 +224,13 @@
 // readInterval returns the shortest time between the starts of two reads. It is longer while the mesh starts, because
 // then all nodes read the store and each upstream that registers causes a change.
 func (s *Syncer) readInterval(source string) time.Duration {
-	if source == sources.Store && s.View().OwnUpstream == nil {
+	switch {
+	case source != sources.Store:
+		return minReadInterval
+	case s.View().OwnUpstream == nil:
 		return startReadInterval
 	}
-	return minReadInterval
+	return minStoreReadInterval
 }
 
 func (s *Syncer) position() Position {
--- a/pkg/mesh/maintainer_test.go
+++ b/pkg/mesh/maintainer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,3 +47,31 @@
 	g.Expect(delta.StoreAge).To(BeNumerically(">", sources.MaxStoreAge))
 	g.Expect(time.Since(asked)).To(BeNumerically("<", 300*time.Millisecond))
 }
+
+// changingSource has a change at every read, like the store while the upstreams of a mesh register one after the other.
+type changingSource struct{ reads atomic.Uint64 }
+
+func (s *changingSource) Read(Position, time.Duration) (Delta, error) {
+	n := s.reads.Add(1)
+	return Delta{Revision: n, Full: n == 1, Entries: []Entry{{Key: "a", Value: "x", Revision: n}}}, nil
+}
+
+// Load: the store changes all the time, as in the seconds in which a fleet starts or rolls. Guards against a reader that
+// calls the store, whose calls are billed, for each of the changes.
+func TestReaderBatchesSeriesOfChanges(t *testing.T) {
+	g := NewWithT(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := &changingSource{}
+	own := newUpstream("a", 1, 1)
+	s := NewSyncer(SyncerOptions{
+		VM: "10.0.0.1", DataCentre: "north", UpstreamAddress: ownAddress, HeartbeatInterval: heartbeat, Store: store,
+		Decode: func(Entry) (Change, bool) { return Change{Upstream: own}, true }, Clock: clock.System(), Log: log,
+	})
+	const span = 2 * time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), span)
+	defer cancel()
+	s.Run(ctx)
+	g.Expect(store.reads.Load()).To(BeNumerically("<=", span/minStoreReadInterval+1))
+	g.Expect(store.reads.Load()).To(BeNumerically(">", 1))
+}
