--- a/decision/quota/simulation/holders.go
+++ b/decision/quota/simulation/holders.go
@@ -167,8 +167,8 @@
 // maxWait is the longest time that a call waits for a token.
 const maxWait = 100 * time.Millisecond
 
-// sendLeaseRequest exchanges the messages of a lease stream. Opening a stream is not counted: a node that asks a holder
-// every 16 s, as at the target size, opens 1 stream for 40 requests.
+// sendLeaseRequest exchanges the messages of a lease stream. Opening a stream is not counted, because a node keeps its
+// streams for longer than the pauses between its requests to the holders that it prefers.
 func (s *fixedHolders) sendLeaseRequest(node int, b *quota.Borrower, request quota.OutgoingLeaseRequest) {
 	holder := s.nodeByUpstream[request.Holder]
 	body, _ := request.Request.AppendBinary(nil)
--- a/pkg/ratelimit/stream.go
+++ b/pkg/ratelimit/stream.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// borrowerIdleTime is how long a borrower keeps a lease stream that it does not use. At the target size a node asks the
-	// same holder every 16 s on average, so few requests have to open a new stream. holderIdleTime is longer, so that a
+	// borrowerIdleTime is how long a borrower keeps a lease stream that it does not use. A node asks the holders that are
+	// first in its order every few seconds, so few requests have to open a new stream. holderIdleTime is longer, so that a
 	// borrower does not send a request on a stream that its holder is closing.
 	borrowerIdleTime = 60 * time.Second
 	holderIdleTime   = 90 * time.Second
