Don't grant a lease on a stream after the limiter has stopped

Cause: closeAll ends a blocked read with a deadline in the past. If the next request arrives before the goroutine of the stream runs again, the read returns the request instead of the passed deadline. A trial with output of each step shows the frame that is read after the deadline was set.

Change: the stream looks whether it has ended after each request that it reads. The test is unchanged.

--- a/pkg/ratelimit/stream.go
+++ b/pkg/ratelimit/stream.go
@@ -238,6 +238,13 @@
 	return true, conn.SetReadDeadline(time.Now().Add(holderIdleTime))
 }
 
+// ended reports whether the streams are closed.
+func (s *leaseStreams) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // closeAll ends all streams. The server does not know them any more, so nothing else ends them when the node stops. The
 // server closes a connection once its handler has returned; closing it here has no effect.
 func (s *leaseStreams) closeAll() {
@@ -281,6 +288,11 @@
 		if err != nil {
 			return err
 		}
+		// A request that arrives after closeAll, but before it has woken up this goroutine, is read all the same. A limiter that
+		// has stopped must not grant it.
+		if l.streams.ended() {
+			return nil
+		}
 		var req wire.LeaseRequest
 		if err := req.UnmarshalBinary(payload); err != nil {
 			return err
