review: Add case 3, a withdrawn limit that stays in force under load

The goroutine that requests tokens for a tenant keeps the limit of the configuration under which it was started, and runs for as long as requests wait.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,7 @@
 
 // cases holds the cases by name. A case returns true if the rule was broken.
 var cases = map[string]func(rec *recorder, trouble bool) (bool, error){
+	"stale-limit":  staleLimit,
 	"missed-leave": missedLeave,
 }
 
