--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(rec *recorder, trouble bool) (bool, error){
 	"stale-limit":  staleLimit,
 	"missed-leave": missedLeave,
+	"two-holders":  twoHolders,
 	"cold-again":   coldAgain,
 }
 
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -34,7 +34,9 @@
 	ports                   ports
 	backend                 *backend
 	storeLink               *storeLink
-	mesh                    *mesh
+	// peerProxy carries the connections of other nodes, or is nil if they reach the node directly.
+	peerProxy *proxy
+	mesh      *mesh
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -42,18 +44,22 @@
 }
 
 // ports are the same on all machines.
-type ports struct{ outbound, inbound, ready, app, store, metrics int }
+type ports struct{ outbound, inbound, ready, app, store, metrics, inboundBehind int }
 
 func (m *machine) address(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
 func (m *machine) outbound() string        { return m.address(m.ports.outbound) }
 
 func (m *machine) writeSettings() (string, error) {
-	data, err := json.MarshalIndent(map[string]any{
+	fields := map[string]any{
 		"vm": m.name, "service": m.service, "data_centre": m.zone,
 		"caller_address": m.outbound(), "peer_address": m.address(m.ports.inbound), "ready_address": m.address(m.ports.ready),
 		"upstream_address": m.address(m.ports.app), "store_address": m.address(m.ports.store), "heartbeat_s": heartbeat.Seconds(),
 		"memory_mb": 284, "link_mbps": 1000.0, "metrics_address": m.address(m.ports.metrics), "bounds": bounds,
-	}, "", "  ")
+	}
+	if m.peerProxy != nil {
+		fields["peer_listen_address"] = m.address(m.ports.inboundBehind)
+	}
+	data, err := json.MarshalIndent(fields, "", "  ")
 	if err != nil {
 		return "", err
 	}
@@ -142,7 +148,7 @@
 	for range 50 {
 		var numbers []int
 		ok := true
-		for range 6 {
+		for range 7 {
 			l, err := net.Listen("tcp4", ips[0]+":0")
 			if err != nil {
 				return ports{}, err
@@ -161,7 +167,7 @@
 			}
 		}
 		if ok {
-			return ports{numbers[0], numbers[1], numbers[2], numbers[3], numbers[4], numbers[5]}, nil
+			return ports{numbers[0], numbers[1], numbers[2], numbers[3], numbers[4], numbers[5], numbers[6]}, nil
 		}
 	}
 	return ports{}, errors.New("no free ports")
@@ -206,6 +212,17 @@
 	return m, nil
 }
 
+// putProxies makes the nodes reach each other through proxies. It is called before start.
+func (m *mesh) putProxies() error {
+	for _, x := range m.machines {
+		x.peerProxy = newProxy(x.address(x.ports.inbound), x.address(x.ports.inboundBehind))
+		if err := x.peerProxy.open(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // start starts the backends and the nodes and waits until all nodes are ready.
 func (m *mesh) start() error {
 	for _, x := range m.machines {
