--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -5,8 +5,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// timeLimit is the longest time that a case may take.
+const timeLimit = 110 * time.Second
+
 // Exit codes.
 const (
 	exitHeld   = 0
@@ -32,6 +38,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	go endEarly(rec)
 	trouble := os.Getenv("TROUBLE") != "0"
 	broken, err := cases[os.Args[1]](rec, trouble)
 	code := exitHeld
@@ -48,3 +55,17 @@
 	rec.close()
 	os.Exit(code)
 }
+
+// endEarly ends the program and all nodes when it is told to stop or takes too long.
+func endEarly(rec *recorder) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case s := <-signals:
+		rec.summary("stopped by %s", s)
+	case <-time.After(timeLimit):
+		rec.summary("stopped: the case takes too long")
+	}
+	killNodes()
+	os.Exit(exitNotRun)
+}
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -84,6 +84,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	running.add(command.Process)
 	exited := make(chan struct{})
 	m.mu.Lock()
 	m.command, m.exited = command, exited
@@ -91,12 +92,42 @@
 	m.mesh.rec.add("node of %s starts (process %d)", m.name, command.Process.Pid)
 	go func() {
 		err := command.Wait()
+		running.remove(command.Process)
 		m.mesh.rec.add("node of %s has ended: %v", m.name, err)
 		close(exited)
 	}()
 	return nil
 }
 
+// processes holds the nodes that run.
+type processes struct {
+	mu   sync.Mutex
+	list map[*os.Process]bool
+}
+
+var running = &processes{list: map[*os.Process]bool{}}
+
+func (p *processes) add(x *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list[x] = true
+}
+
+func (p *processes) remove(x *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.list, x)
+}
+
+// killNodes kills all nodes that this program started.
+func killNodes() {
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	for x := range running.list {
+		_ = x.Kill()
+	}
+}
+
 // signal sends a signal to the process of the node.
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
