--- a/review/harness/case_stale_limit.go
+++ b/review/harness/case_stale_limit.go
@@ -9,10 +9,11 @@
 // staleLimit lowers the limit of a tenant. With trouble, the tenant sends many times its usual before and after.
 func staleLimit(rec *recorder, trouble bool) (bool, error) {
 	const (
-		usualPerSecond = 40.0
-		hotFactor      = 7.5
-		oldRate        = 64.0
-		newRate        = 8.0
+		usualPerSecond = 60.0
+		firstFactor    = 3.0
+		secondFactor   = 4.4
+		oldRate        = 96.0
+		newRate        = 12.0
 		spell          = 8 * time.Second
 		connections    = 60
 		key            = "6wsjnbanfqasnmgkcuyj"
@@ -53,18 +54,25 @@
 		}
 		group.Wait()
 	}
-	factor := 1.0
-	if trouble {
-		factor = hotFactor
-	}
 	send(usualPerSecond, 3*time.Second)
 	var acked time.Time
 	time.AfterFunc(2*time.Second, func() {
 		put(9, newRate)
 		acked = time.Now()
 	})
-	// Two spells of the hot tenant follow each other without a pause.
-	send(factor*usualPerSecond, 2*spell)
+	if trouble {
+		// Two spells of the hot tenant follow each other without a pause.
+		var second sync.WaitGroup
+		second.Add(1)
+		time.AfterFunc(spell, func() {
+			defer second.Done()
+			send((secondFactor-firstFactor)*usualPerSecond, spell)
+		})
+		send(firstFactor*usualPerSecond, 2*spell)
+		second.Wait()
+	} else {
+		send(usualPerSecond, 2*spell)
+	}
 	send(usualPerSecond, 4*time.Second)
 	rec.summary("answers: %s", counts(m.ledger.all()))
 	// The lower limit binds one window after all nodes have been in touch for config_apply_s past the acknowledgement.
--- a/review/harness/config.go
+++ b/review/harness/config.go
@@ -50,4 +50,4 @@
 	m.rec.add("the store acknowledges version %08x", version)
 }
 
-const coldPerSecond = 11.0
+const coldPerSecond = 13.0
