Send removals to followers that are older than a reader's first read

Cause: a reader that starts reads all entries of the store and does not know what was removed before. Its feed kept removalsFrom at 0, so a follower at an earlier revision got an incremental delta, adopted the new revision and never learned of the removals in between. The end of an evacuation was lost in the same way, and so were removals in revisions that a reader skipped because the store had discarded its history.

Change: a full read records the revisions that it skipped. A follower inside them gets a full delta, which lists all entries. Values that the follower has are left out, because a restarted reader would otherwise send the configuration of the whole mesh to each of its followers.

--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -30,6 +30,8 @@
 	// Patch is sent in place of Value. It applies to the value that the entry had at the revision Base.
 	Patch []PatchStep `json:"p,omitempty"`
 	Base  uint64      `json:"b,omitempty"`
+	// Unchanged is set in a full delta, without a value, if the follower has the value of this revision.
+	Unchanged bool `json:"u,omitempty"`
 }
 
 // Delta is the answer to a read: the entries that changed up to a revision.
@@ -54,13 +56,23 @@
 type Feed struct {
 	entries  map[string]Entry
 	removals []Entry
-	// removalsFrom is the revision after which removals are complete. Removals up to it may have been discarded.
+	// removalsFrom is the revision after which removals are complete, except in the gap. Removals up to it may have been
+	// discarded, or may have happened before the feed read all entries. A follower at an earlier revision gets a full
+	// delta, because an incremental one would leave it with removed entries for good.
 	removalsFrom uint64
-	revision     uint64
+	// gap is the last range of revisions that the feed skipped by reading all entries again. Entries that were both
+	// written and removed in it are not known here, but a follower inside it may have them.
+	gap      revisionRange
+	revision uint64
 	// earlierValues holds the earlier values of large entries by key, the newest last.
 	earlierValues map[string][]Entry
 }
 
+// revisionRange is the range of revisions between two revisions, both excluded.
+type revisionRange struct{ after, before uint64 }
+
+func (r revisionRange) contains(revision uint64) bool { return r.after < revision && revision < r.before }
+
 // NewFeed returns an empty feed.
 func NewFeed() *Feed { return &Feed{entries: map[string]Entry{}, earlierValues: map[string][]Entry{}} }
 
@@ -86,6 +98,7 @@
 				changed = append(changed, f.putEntry(Entry{Key: key, Revision: d.Revision, Removed: true})...)
 			}
 		}
+		f.recordGap(d.Revision)
 	}
 	for _, e := range d.Entries {
 		changed = append(changed, f.putEntry(e)...)
@@ -94,8 +107,20 @@
 	return changed, nil
 }
 
+// recordGap records that a full delta advances the feed to a revision. Only the last gap is kept, so followers at revisions
+// before it get full deltas.
+func (f *Feed) recordGap(revision uint64) {
+	if revision > f.revision {
+		f.removalsFrom = max(f.removalsFrom, f.gap.before)
+		f.gap = revisionRange{after: f.revision, before: revision}
+	}
+}
+
 // decodePatch replaces the patch of an entry by the value that it produces.
 func (f *Feed) decodePatch(e *Entry) error {
+	if e.Unchanged && !f.supersedes(*e) {
+		return ErrPatchBase
+	}
 	if len(e.Patch) == 0 {
 		return nil
 	}
@@ -147,15 +172,23 @@
 	}
 }
 
-func (f *Feed) putEntry(e Entry) []Entry {
+// supersedes reports whether the feed has the state of the entry at the same or a later revision.
+func (f *Feed) supersedes(e Entry) bool {
 	if known, ok := f.entries[e.Key]; ok && known.Revision >= e.Revision {
-		return nil
+		return true
 	}
 	for _, r := range f.removals {
 		if r.Key == e.Key && r.Revision >= e.Revision {
-			return nil
+			return true
 		}
 	}
+	return false
+}
+
+func (f *Feed) putEntry(e Entry) []Entry {
+	if f.supersedes(e) {
+		return nil
+	}
 	f.keepEarlierValue(f.entries[e.Key])
 	if !e.Removed {
 		f.entries[e.Key] = e
@@ -164,16 +197,16 @@
 	delete(f.entries, e.Key)
 	f.removals = append(f.removals, e)
 	if len(f.removals) > maxRemovals {
-		f.removalsFrom = f.removals[0].Revision
+		f.removalsFrom = max(f.removalsFrom, f.removals[0].Revision)
 		f.removals = f.removals[1:]
 	}
 	return []Entry{e}
 }
 
 // ChangesSince returns what changed after a revision. The delta is full for revision 0 and for revisions after which
-// removals are not complete.
+// removals are not complete. A full delta for another revision than 0 has no values of entries that did not change.
 func (f *Feed) ChangesSince(revision uint64) Delta {
-	d := Delta{Revision: f.revision, Full: revision == 0 || revision < f.removalsFrom}
+	d := Delta{Revision: f.revision, Full: revision == 0 || revision < f.removalsFrom || f.gap.contains(revision)}
 	if !d.Full {
 		for _, r := range f.removals {
 			if _, exists := f.entries[r.Key]; !exists && r.Revision > revision {
@@ -182,8 +215,11 @@
 		}
 	}
 	for _, e := range f.entries {
-		if d.Full || e.Revision > revision {
+		switch {
+		case e.Revision > revision:
 			d.Entries = append(d.Entries, e)
+		case d.Full:
+			d.Entries = append(d.Entries, Entry{Key: e.Key, Revision: e.Revision, Unchanged: true})
 		}
 	}
 	return d
--- a/pkg/mesh/feed_test.go
+++ b/pkg/mesh/feed_test.go
@@ -94,3 +94,49 @@
 	_, err = NewFeed().Apply(Delta{Entries: []Entry{patched}, Revision: 2})
 	g.Expect(err).To(MatchError(ErrPatchBase))
 }
+
+// Guards against a follower that misses the removal of an upstream, and sends it requests until it ends, or the end of an
+// evacuation: the node that it reads from restarted in between, so its feed began with entries that were left.
+func TestFollowerOfRestartedReaderGetsEarlierRemovals(t *testing.T) {
+	g := NewWithT(t)
+	follower, reader := NewFeed(), NewFeed()
+	kept, removed, later := newEntry("upstream/a", "x", 1), newEntry("upstream/b", "y", 2), newEntry("upstream/c", "z", 5)
+	applyDelta(g, follower, Delta{Entries: []Entry{kept, removed}, Revision: 3, Full: true})
+	applyDelta(g, reader, Delta{Entries: []Entry{kept}, Revision: 4, Full: true})
+	applyDelta(g, reader, Delta{Entries: []Entry{later}, Revision: 5})
+	changed, err := follower.Apply(reader.ChangesSince(follower.Revision()))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changed).To(ConsistOf(Entry{Key: removed.Key, Revision: 5, Removed: true}, later))
+	g.Expect(reader.ChangesSince(follower.Revision()).Full).To(BeFalse())
+}
+
+// Guards against a follower that misses a removal because its reader read all entries again after the store discarded its
+// history: the entry was written and removed in the revisions that the reader does not know.
+func TestFollowerGetsRemovalsOfRevisionsThatItsReaderSkipped(t *testing.T) {
+	g := NewWithT(t)
+	follower, reader := NewFeed(), NewFeed()
+	kept, removed := newEntry("upstream/a", "x", 1), newEntry("upstream/b", "y", 5)
+	applyDelta(g, reader, Delta{Entries: []Entry{kept}, Revision: 3, Full: true})
+	applyDelta(g, follower, Delta{Entries: []Entry{kept, removed}, Revision: 6, Full: true})
+	applyDelta(g, reader, Delta{Entries: []Entry{kept}, Revision: 9, Full: true})
+	changed, err := follower.Apply(reader.ChangesSince(follower.Revision()))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changed).To(ConsistOf(Entry{Key: removed.Key, Revision: 9, Removed: true}))
+	g.Expect(reader.ChangesSince(3).Full).To(BeFalse())
+}
+
+// Guards against filling the links of small VMs when a reader restarts: each of its followers would get all entries with
+// their values.
+func TestFollowerOfRestartedReaderGetsOnlyChangedValues(t *testing.T) {
+	g := NewWithT(t)
+	follower, reader := NewFeed(), NewFeed()
+	kept, later := newEntry("config", strings.Repeat("x", 100_000), 1), newEntry("upstream/a", "x", 4)
+	applyDelta(g, follower, Delta{Entries: []Entry{kept}, Revision: 2, Full: true})
+	applyDelta(g, reader, Delta{Entries: []Entry{kept, later}, Revision: 4, Full: true})
+	d := reader.ChangesSince(2)
+	g.Expect(d.Entries).To(ConsistOf(Entry{Key: kept.Key, Revision: 1, Unchanged: true}, later))
+	g.Expect(follower.Apply(d)).To(ConsistOf(later))
+	// A node without the value has to read it.
+	_, err := NewFeed().Apply(d)
+	g.Expect(err).To(MatchError(ErrPatchBase))
+}
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -127,7 +127,7 @@
 	defer timer.Stop()
 	for {
 		delta, changed := s.changesSince(after)
-		if len(delta.Entries) > 0 || after.Revision == 0 || s.StoreAge() > sources.MaxStoreAge {
+		if len(delta.Entries) > 0 || delta.Full || s.StoreAge() > sources.MaxStoreAge {
 			return s.withContact(delta)
 		}
 		select {
@@ -156,7 +156,7 @@
 	}
 	for i, e := range delta.Entries {
 		base, has := after.LargeRevisions[e.Key]
-		if !has || e.Removed {
+		if !has || e.Removed || e.Unchanged {
 			continue
 		}
 		key := patchKey{e.Key, base, e.Revision}
