--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -71,7 +71,9 @@
 // revisionRange is the range of revisions between two revisions, both excluded.
 type revisionRange struct{ after, before uint64 }
 
-func (r revisionRange) contains(revision uint64) bool { return r.after < revision && revision < r.before }
+func (r revisionRange) contains(revision uint64) bool {
+	return r.after < revision && revision < r.before
+}
 
 // NewFeed returns an empty feed.
 func NewFeed() *Feed { return &Feed{entries: map[string]Entry{}, earlierValues: map[string][]Entry{}} }
