Don't replace a holder whose connections are refused

Cause: a refused connection was taken for a VM without a node, so the next VM granted the whole rate as the holder. Behind a cut by resets the holder goes on granting it on its own side. The relay of a substitute and the probe of a silent holder took a refused connection in the same way.

Change: a refused connection counts like a missing answer, so the next VM is only a substitute.

SubstituteLimit takes a struct, RefusedBy became UnresponsiveHolder; the cases of their tests are the same.

--- a/decision/allowance/standing.go
+++ b/decision/allowance/standing.go
@@ -1,7 +1,6 @@
 package allowance
 
 import (
-	"slices"
 	"time"
 )
 
@@ -92,12 +91,23 @@
 	return Limit{Rate: reducedShare * l.Rate, Burst: reducedShare * l.Burst}
 }
 
-// SubstituteLimit returns the limit of a substitute for a holder that has not answered for the time silence. limited
-// says that the holder had no tokens shortly before: the team then sends more than its limit, all of which the holder
-// may still be granting, so the substitute grants only a small part.
-func (p StoreContactPolicy) SubstituteLimit(l Limit, silence time.Duration, limited bool) Limit {
+// HolderSilence is what a substitute knows about a holder that it does not reach.
+type HolderSilence struct {
+	// Duration is the time for which the substitute has not reached the holder.
+	Duration time.Duration
+	// TeamLimited says that the holder had no tokens shortly before: the team then sends more than its limit, all of which
+	// the holder may still be granting.
+	TeamLimited bool
+	// NeighbourAnswers says that another VM of the holder's data centre answers the substitute. Otherwise the data centre
+	// may be cut off, and the holder may be granting the whole limit to all the nodes there.
+	NeighbourAnswers bool
+}
+
+// SubstituteLimit returns the limit of a substitute for a holder. It is a small part of the team's limit if that, together
+// with all that the holder may be granting on the other side of a partition, has to stay within the tolerance.
+func (p StoreContactPolicy) SubstituteLimit(l Limit, s HolderSilence) Limit {
 	share := substituteShare
-	if limited || silence > p.heartbeats(substituteHeartbeats) {
+	if s.TeamLimited || !s.NeighbourAnswers || s.Duration > p.heartbeats(substituteHeartbeats) {
 		share = unreachableHolderShare
 	}
 	rate := share * l.Rate
@@ -109,9 +119,9 @@
 	Team string
 	// Connected says that the requesting node is connected to the store, so that its list of VMs is recent.
 	Connected bool
-	// RefusedBy are the VMs that refused the requesting node's connection or did not answer it. They do not count as
-	// holders for this request.
-	RefusedBy []string
+	// UnresponsiveHolder is the VM that the requesting node does not reach, if any. It does not count as a holder for this
+	// request.
+	UnresponsiveHolder string
 }
 
 // Referral returns the VM to which the receiver should refer a request, or "" if the receiver, which runs on ownVM,
@@ -124,7 +134,7 @@
 	}
 	candidates := make([]string, 0, len(vms))
 	for _, vm := range vms {
-		if !slices.Contains(request.RefusedBy, vm) {
+		if vm != request.UnresponsiveHolder {
 			candidates = append(candidates, vm)
 		}
 	}
--- a/decision/allowance/standing_test.go
+++ b/decision/allowance/standing_test.go
@@ -76,8 +76,8 @@
 	request := TokenRequest{Team: "red"}
 	g.Expect(testPolicy.Referral(request, ranked[0], testVMs, 0)).To(BeEmpty())
 	g.Expect(testPolicy.Referral(request, ranked[0], ranked[1:], 0)).To(Equal(ranked[1]))
-	// A substitute answers the request itself if the holder refused the connection.
-	g.Expect(testPolicy.Referral(TokenRequest{Team: "red", RefusedBy: ranked[:1]}, ranked[1], testVMs, 0)).To(BeEmpty())
+	// A substitute answers the request itself if the holder is not reached.
+	g.Expect(testPolicy.Referral(TokenRequest{Team: "red", UnresponsiveHolder: ranked[0]}, ranked[1], testVMs, 0)).To(BeEmpty())
 	// A request of a connected node is not referred, and a node that has lost the store refers no request.
 	g.Expect(testPolicy.Referral(TokenRequest{Team: "red", Connected: true}, ranked[0], ranked[1:], 0)).To(BeEmpty())
 	g.Expect(testPolicy.Referral(request, ranked[0], ranked[1:], time.Minute)).To(BeEmpty())
@@ -99,7 +99,9 @@
 		sent++
 		node.CountRequest(now)
 		if want := node.TokensToBorrow(now, 1); want > 0 {
-			granted, retry := b.Lease(now, "team", testPolicy.SubstituteLimit(testLimit, now-lost, node.RecentlyLimited(now)), want)
+			granted, retry := b.Lease(now, "team", testPolicy.SubstituteLimit(testLimit, HolderSilence{
+				Duration: now - lost, TeamLimited: node.RecentlyLimited(now), NeighbourAnswers: true,
+			}), want)
 			node.HandleLeaseAnswer(now, granted, retry, true)
 		}
 		if node.TakeToken(now) {
@@ -141,7 +143,9 @@
 				switch {
 				case silence <= 0:
 				case silence < 3*heartbeat:
-					ask(substitute, now, c.SubstituteLimit(testLimit, silence, limited > 0 && now-limited < recentlyLimitedTime))
+					ask(substitute, now, c.SubstituteLimit(testLimit, HolderSilence{
+						Duration: silence, TeamLimited: limited > 0 && now-limited < recentlyLimitedTime, NeighbourAnswers: true,
+					}))
 				default:
 					// The list has dropped the holder; the substitute becomes the holder and begins with an empty bucket.
 					substitute.SetHeldTeams(now, []string{"team"})
@@ -152,3 +156,28 @@
 		}
 	}
 }
+
+// Guards against a holder and its substitute that together exceed the limit while data centres are cut off from each other
+// but reach the store: the holder grants the whole limit in its data centre for as long as the cut lasts. The team starts to
+// send many times its rate at different times before and after the cut.
+func TestHolderInCutOffDataCentreAndSubstituteStayWithinLimit(t *testing.T) {
+	for overloadStart := -2 * time.Second; overloadStart < 6*time.Second; overloadStart += 250 * time.Millisecond {
+		g := NewWithT(t)
+		const cut = time.Minute
+		f := newFleet(0, 0, 0, testLimit)
+		holder, substitute := NewBuckets(), NewBuckets()
+		holder.SetHeldTeams(0, []string{"team"})
+		ask := func(b *Buckets, now time.Duration, l Limit) {
+			if granted, _ := b.Lease(now, "team", l, 1); granted > 0 {
+				f.admitted = append(f.admitted, now)
+			}
+		}
+		for now := cut + overloadStart; now < cut+overloadStart+10*time.Second; now += 2 * time.Millisecond {
+			ask(holder, now, testLimit)
+			if now > cut {
+				ask(substitute, now, testPolicy.SubstituteLimit(testLimit, HolderSilence{Duration: now - cut}))
+			}
+		}
+		g.Expect(float64(f.maxAdmittedInWindow())).To(BeNumerically("<=", f.maxAllowedInWindow()), "overload starts %s after the cut", overloadStart)
+	}
+}
--- a/pkg/sidecar/lease.go
+++ b/pkg/sidecar/lease.go
@@ -1,11 +1,9 @@
 package sidecar
 
 import (
-	"errors"
 	"iter"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,9 +42,7 @@
 	Tokens int    `json:"w"`
 	// StoreConnected is true if the sender is in contact with the platform's store.
 	StoreConnected bool `json:"i,omitempty"`
-	// RefusingVMs holds the VMs that rank before the receiver as holders and that refused the sender's connection.
-	RefusingVMs []string `json:"f,omitempty"`
-	// UnresponsiveHolder is the holder that does not answer the sender, if any. The receiver is then asked as its
+	// UnresponsiveHolder is the holder that the sender does not reach, if any. The receiver is then asked as its
 	// substitute. RecentlyLimited is true if the holder refused tokens of the team a few seconds ago.
 	UnresponsiveHolder string `json:"s,omitempty"`
 	RecentlyLimited    bool   `json:"l,omitempty"`
@@ -90,6 +86,7 @@
 	borrowers map[string]*borrowerState
 	// unresponsive has the holders that do not answer, by VM.
 	unresponsive map[string]*unresponsiveHolder
+	neighbours   *neighbourProber
 }
 
 // unresponsiveHolder is the state of a holder that does not answer. Times are on the process's clock.
@@ -111,11 +108,13 @@
 
 func newTeamLimiter(o *Options, pool *peer.Pool, ownIP, port string) *teamLimiter {
 	contact := allowance.StoreContactPolicy{HeartbeatInterval: o.Settings.HeartbeatInterval}
-	return &teamLimiter{
+	l := &teamLimiter{
 		o: o, pool: pool, ownVM: ownIP, peerPort: port, storeContact: contact, buckets: allowance.NewBuckets(),
 		holderConfirmation: allowance.NewHolderConfirmation(contact), holders: allowance.NewHolderIndex(),
 		borrowers: map[string]*borrowerState{}, unresponsive: map[string]*unresponsiveHolder{},
 	}
+	l.neighbours = newNeighbourProber(o, ownIP, l.sendProbe)
+	return l
 }
 
 // updateView puts a new list of VMs and of teams in force.
@@ -150,6 +149,7 @@
 			delete(l.unresponsive, vm)
 		}
 	}
+	l.neighbours.retainOnly(v.VMs)
 }
 
 // admit reports whether a request of the team is within its limit. It waits for a token for at most maxTokenWait.
@@ -254,15 +254,13 @@
 	b.waiting = nil
 }
 
-// requestLease asks the holder of a team for tokens. A VM that refuses the connection runs no node and grants nothing,
-// so the VM that ranks next is the holder instead. A holder that does not answer may still grant tokens to other nodes,
-// so the VM that ranks next is only its substitute and grants less.
+// requestLease asks the holder of a team for tokens. A holder that does not answer, or that refuses the connection, may
+// still grant the whole limit to other nodes: a partition by resets looks like a node that does not run. So the VM that
+// ranks next is only its substitute and grants less.
 func (l *teamLimiter) requestLease(now time.Duration, limit allowance.Limit, request leaseRequest) (leaseResponse, error) {
 	for holder := range l.holdersOf(request.Team) {
 		resp, err := l.askHolder(now, holder, limit, request)
 		switch {
-		case errors.Is(err, syscall.ECONNREFUSED):
-			request.RefusingVMs = append(request.RefusingVMs, holder)
 		case err != nil && request.UnresponsiveHolder == "":
 			request.UnresponsiveHolder = holder
 		case err == nil && resp.CurrentHolder != "":
@@ -326,7 +324,7 @@
 	}
 	var resp leaseResponse
 	err := postMessage(l.pool, holder+l.peerPort, leasePath, request, &resp, timeout)
-	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+	if err != nil {
 		l.markUnresponsive(now, request.Team, holder, err)
 	}
 	return resp, err
@@ -362,22 +360,26 @@
 	return true
 }
 
-// probe sends a lease request without a team to an unresponsive holder. A holder that answers, or that refuses the
-// connection because it runs no node, no longer counts as unresponsive.
+// probe probes an unresponsive holder. One that answers no longer counts as unresponsive.
 func (l *teamLimiter) probe(holder string, state *unresponsiveHolder) {
-	var resp leaseResponse
-	request := leaseRequest{StoreConnected: l.storeContact.Connected(l.o.StoreAge())}
-	err := postMessage(l.pool, holder+l.peerPort, leasePath, request, &resp, leaseTimeout)
+	err := l.sendProbe(holder)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state.probing, state.probeAt = false, l.o.Clock.Now()+probeInterval
-	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+	if err == nil {
 		delete(l.unresponsive, holder)
 		l.o.Log.WithField("vm", holder).WithField("silent_ms", (l.o.Clock.Now() - state.since).Milliseconds()).
 			Info("the holder of teams' limits responds again")
 	}
 }
 
+// sendProbe sends a lease request without a team to another node.
+func (l *teamLimiter) sendProbe(vm string) error {
+	var resp leaseResponse
+	request := leaseRequest{StoreConnected: l.storeContact.Connected(l.o.StoreAge())}
+	return postMessage(l.pool, vm+l.peerPort, leasePath, request, &resp, leaseTimeout)
+}
+
 // grantTokens grants tokens from a bucket that this node holds.
 func (l *teamLimiter) grantTokens(now time.Duration, limit allowance.Limit, request leaseRequest) leaseResponse {
 	if request.UnresponsiveHolder != "" {
@@ -392,7 +394,7 @@
 	return leaseResponse{Granted: granted, RetryMS: retry.Milliseconds(), Filling: l.buckets.Filling(now, request.Team, limit)}
 }
 
-// grantAsSubstitute answers in place of a holder that does not answer the sender. If this node reaches the holder, it
+// grantAsSubstitute answers in place of a holder that the sender does not reach. If this node reaches the holder, it
 // passes on the holder's response. Otherwise it grants a part of the limit.
 func (l *teamLimiter) grantAsSubstitute(now time.Duration, limit allowance.Limit, request leaseRequest) leaseResponse {
 	holder := request.UnresponsiveHolder
@@ -401,10 +403,10 @@
 	if err == nil && resp.CurrentHolder == "" {
 		return resp
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return l.grantTokens(now, limit, request)
-	}
-	limit = l.storeContact.SubstituteLimit(limit, now-l.unresponsiveSince(now, holder), request.RecentlyLimited)
+	since := l.unresponsiveSince(now, holder)
+	limit = l.storeContact.SubstituteLimit(limit, allowance.HolderSilence{
+		Duration: now - since, TeamLimited: request.RecentlyLimited, NeighbourAnswers: l.neighbours.answer(now, holder, since),
+	})
 	l.holderMu.Lock()
 	defer l.holderMu.Unlock()
 	granted, retry := l.buckets.Lease(now, request.Team, limit, request.Tokens)
@@ -438,7 +440,7 @@
 	var resp leaseResponse
 	if team := view.Config.TeamByName(request.Team); team != nil {
 		resp.CurrentHolder = l.storeContact.Referral(
-			allowance.TokenRequest{Team: team.Name, Connected: request.StoreConnected, RefusedBy: append(request.RefusingVMs, request.UnresponsiveHolder)},
+			allowance.TokenRequest{Team: team.Name, Connected: request.StoreConnected, UnresponsiveHolder: request.UnresponsiveHolder},
 			l.ownVM, view.VMs, l.o.StoreAge(),
 		)
 		if resp.CurrentHolder == "" {
--- a/pkg/sidecar/lease_test.go
+++ b/pkg/sidecar/lease_test.go
@@ -98,9 +98,9 @@
 	g.Expect(float64(m.countAdmitted(team, span, stale))).To(BeNumerically(">=", 0.8*team.Rate*span.Seconds()))
 }
 
-// addUnresponsiveHolder adds a VM to the list of VMs that is the holder of the team, accepts connections and never
-// answers.
-func (m *testMesh) addUnresponsiveHolder(team string) {
+// addUnresponsiveHolder adds a VM with an upstream to the view that is the holder of the team. It accepts connections and
+// never answers or, if refuses is true, refuses connections.
+func (m *testMesh) addUnresponsiveHolder(team string, refuses bool) {
 	view := *m.view.Load()
 	network := view.VMs[0][:strings.LastIndex(view.VMs[0], ".")]
 	for host := 100; ; host++ {
@@ -109,6 +109,13 @@
 		if allowance.Holder(team, view.VMs) != vm {
 			continue
 		}
+		view.UpstreamsByService = map[string][]*mesh.Upstream{testService: append(
+			slices.Clone(m.view.Load().UpstreamsByService[testService]),
+			&mesh.Upstream{ID: "holder", Service: testService, IP: vm, DataCentre: "north", Slots: 4},
+		)}
+		if refuses {
+			break
+		}
 		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", vm, m.ports[1]))
 		if err != nil {
 			m.t.Fatal(err)
@@ -123,18 +130,42 @@
 }
 
 // Guards against refusing all requests of a team while its holder does not answer but is still in the list of VMs, as
-// after a power failure, and against making requests wait for each new attempt to reach that holder.
+// after a power failure or while its process restarts, and against making requests wait for each new attempt to reach that
+// holder.
 func TestSubstituteGrantsForUnresponsiveHolder(t *testing.T) {
+	for name, refuses := range map[string]bool{"silent": false, "refuses connections": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newTestMesh(t, 3, nil)
+			team := m.setLimit(200, 20)
+			m.addUnresponsiveHolder(team.Name, refuses)
+			// Each node finds out once that the holder is unresponsive.
+			m.countAdmitted(team, 600*time.Millisecond, 0, 1, 2)
+			const span = time.Second
+			admitted := m.countAdmitted(team, span, 0, 1, 2)
+			g.Expect(float64(admitted)).To(BeNumerically(">=", 0.45*team.Rate*span.Seconds()))
+			g.Expect(float64(admitted)).To(BeNumerically("<=", 0.8*team.Rate*span.Seconds()))
+		})
+	}
+}
+
+// Guards against two nodes that both act as the holder of a team's limit: the data centres are cut off from each other by
+// resets, so that a holder which goes on granting the whole limit on its side refuses connections like one that does not
+// run.
+func TestHolderBehindResetsIsNotReplaced(t *testing.T) {
 	g := NewWithT(t)
-	m := newTestMesh(t, 3, nil)
-	team := m.setLimit(200, 20)
-	m.addUnresponsiveHolder(team.Name)
-	// Each node finds out once that the holder is unresponsive.
-	m.countAdmitted(team, 600*time.Millisecond, 0, 1, 2)
-	const span = time.Second
-	admitted := m.countAdmitted(team, span, 0, 1, 2)
-	g.Expect(float64(admitted)).To(BeNumerically(">=", 0.45*team.Rate*span.Seconds()))
-	g.Expect(float64(admitted)).To(BeNumerically("<=", 0.8*team.Rate*span.Seconds()))
+	m := newTestMesh(t, 2, nil)
+	team := m.setLimit(100, 100)
+	closed := freePorts(t, "127.0.0.1", 1)[0]
+	for _, n := range m.nodes {
+		// The nodes still reach the store and their callers.
+		n.teamLimiter.peerPort = fmt.Sprint(":", closed)
+	}
+	time.Sleep(time.Second)
+	const span = 5 * time.Second
+	admitted := float64(m.countAdmitted(team, span, 0, 1))
+	g.Expect(admitted).To(BeNumerically("<=", 1.25*(team.Rate*span.Seconds()+team.Burst)))
+	g.Expect(admitted).To(BeNumerically(">=", team.Rate*span.Seconds()))
 }
 
 // Guards against refusing late: when a team sends many times its limit, requests must not wait 200 ms for tokens that
