Read a team's limit anew for each lease

Cause: requestTokens kept the limit with which it was started, and runs for as long as requests of the team wait. The bucket of the holder was filled at that rate, and the node's own share was calculated from it.

Change: the limit comes from the current view at each lease. When the limit is taken away, the waiting requests are admitted; when the team was removed, they are refused.

--- a/pkg/sidecar/lease.go
+++ b/pkg/sidecar/lease.go
@@ -157,7 +157,6 @@
 	if team.Rate <= 0 {
 		return true
 	}
-	limit := allowance.Limit{Rate: team.Rate, Burst: team.Burst}
 	now := l.o.Clock.Now()
 	l.mu.Lock()
 	b := l.borrowers[team.Name]
@@ -178,7 +177,7 @@
 	b.waiting = append(b.waiting, result)
 	if !b.requesting {
 		b.requesting = true
-		go l.requestTokens(team.Name, limit, b)
+		go l.requestTokens(team.Name, b)
 	}
 	l.mu.Unlock()
 	timer := time.NewTimer(maxTokenWait)
@@ -204,24 +203,29 @@
 	return <-result
 }
 
-// requestTokens asks the holder for tokens until no request of the team waits any more.
-func (l *teamLimiter) requestTokens(team string, limit allowance.Limit, b *borrowerState) {
+// requestTokens asks the holder for tokens until no request of the team waits any more. While a team sends more than its
+// limit that may never be the case, so the limit is read anew for each lease: a lower one has to bind at once.
+func (l *teamLimiter) requestTokens(team string, b *borrowerState) {
 	for {
 		now := l.o.Clock.Now()
+		limit, limited := l.currentLimit(team)
 		l.mu.Lock()
+		if !limited {
+			l.answerWaiting(b, l.o.View().Config.TeamByName(team) != nil)
+		}
 		if len(b.waiting) == 0 {
 			b.requesting = false
 			l.mu.Unlock()
 			return
 		}
-		want, empty, limited := b.TokensToBorrow(now, len(b.waiting)), b.HolderEmptyFor(now), b.RecentlyLimited(now)
+		want, empty, overLimit := b.TokensToBorrow(now, len(b.waiting)), b.HolderEmptyFor(now), b.RecentlyLimited(now)
 		l.mu.Unlock()
 		if want == 0 {
 			time.Sleep(empty)
 			continue
 		}
 		resp, err := l.requestLease(now, limit, leaseRequest{
-			Team: team, Tokens: want, StoreConnected: l.storeContact.Connected(l.o.StoreAge()), RecentlyLimited: limited,
+			Team: team, Tokens: want, StoreConnected: l.storeContact.Connected(l.o.StoreAge()), RecentlyLimited: overLimit,
 		})
 		retry := time.Duration(resp.RetryMS) * time.Millisecond
 		l.mu.Lock()
@@ -235,6 +239,23 @@
 	}
 }
 
+// currentLimit returns the limit of a team in the current view. limited is false if the team has no limit or was removed.
+func (l *teamLimiter) currentLimit(name string) (limit allowance.Limit, limited bool) {
+	team := l.o.View().Config.TeamByName(name)
+	if team == nil || team.Rate <= 0 {
+		return allowance.Limit{}, false
+	}
+	return allowance.Limit{Rate: team.Rate, Burst: team.Burst}, true
+}
+
+// answerWaiting admits or refuses all waiting requests. The lock is held.
+func (l *teamLimiter) answerWaiting(b *borrowerState, admitted bool) {
+	for _, w := range b.waiting {
+		w <- admitted
+	}
+	b.waiting = nil
+}
+
 // admitWaiting gives the borrowed tokens to the waiting requests, the oldest first. The lock is held.
 func (l *teamLimiter) admitWaiting(b *borrowerState) {
 	now := l.o.Clock.Now()
--- a/pkg/sidecar/lease_test.go
+++ b/pkg/sidecar/lease_test.go
@@ -203,3 +203,49 @@
 	g.Expect(waits[len(waits)/2]).To(BeNumerically("<", maxTokenWait/4))
 	g.Expect(float64(admitted)).To(BeNumerically(">=", 0.85*team.Rate*span.Seconds()))
 }
+
+// Guards against a withdrawn limit that stays in force for as long as the team sends more than its limit, because requests
+// wait for tokens all the time.
+func TestLowerLimitBindsWhileRequestsWait(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 2, nil)
+	m.setLimit(400, 100)
+	var admitted atomic.Int64
+	var asking sync.WaitGroup
+	stop := make(chan struct{})
+	for _, n := range m.nodes {
+		for range 40 {
+			asking.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(2 * time.Millisecond):
+					}
+					if n.teamLimiter.admit(m.view.Load().Config.TeamByName("red")) {
+						admitted.Add(1)
+					}
+				}
+			})
+		}
+	}
+	defer asking.Wait()
+	defer close(stop)
+	time.Sleep(time.Second)
+	lower := *m.view.Load()
+	lower.Config = testConfig(t, nil)
+	team := lower.Config.TeamByName("red")
+	team.Rate, team.Burst = 40, 10
+	m.view.Store(&lower)
+	for _, n := range m.nodes {
+		n.UpdateView(&lower)
+	}
+	// Tokens that were borrowed under the old limit have expired by then.
+	time.Sleep(allowance.LeaseDuration + maxTokenWait)
+	before := admitted.Load()
+	const span = 2 * time.Second
+	time.Sleep(span)
+	within := float64(admitted.Load() - before)
+	g.Expect(within).To(BeNumerically("<=", 1.25*(team.Rate*span.Seconds()+team.Burst)))
+	g.Expect(within).To(BeNumerically(">=", 0.8*team.Rate*span.Seconds()))
+}
