--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -254,9 +255,12 @@
 
 // HostIP returns the IP of an "IP:port" address, or an empty string if the address is not valid.
 func HostIP(address string) string {
-	host, _, err := net.SplitHostPort(address)
+	host, port, err := net.SplitHostPort(address)
 	if err != nil || net.ParseIP(host) == nil {
 		return ""
 	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return ""
+	}
 	return host
 }
