Apply the cold time of an upstream's entry at once

Cause: only the health check every 2 s set the cold time, and the time in the upstream's entry was decoded and not used. Without contact with the store the check is the only source. When a late check showed the cold time, the requests of the second before it did not count against the rate.

Change: the syncer passes the cold time of the own upstream's entry on; the node applies it and requests a health check, whose result replaces it. Out of contact with the store, checks come every 0.3 s. The starts of the last second before the notice count against the rate of a cold upstream.

--- a/cmd/bamboodeal-sidecar/main.go
+++ b/cmd/bamboodeal-sidecar/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
@@ -96,6 +97,7 @@
 		Store: store, Decode: store.DecodeEntry, Clock: c, Log: log,
 		PeerSource: func(vm string) mesh.Source { return node.PeerSource(vm) },
 		OnView:     func(v *mesh.View) { node.UpdateView(v) },
+		OnCold:     func(remaining time.Duration) { node.ReportCold(remaining) },
 	})
 	node, err := sidecar.New(sidecar.Options{
 		Settings: s.Node, Headers: platform.Headers, Clock: c, Log: log, View: syncer.View,
--- a/decision/slots/cold.go
+++ b/decision/slots/cold.go
@@ -35,18 +35,41 @@
 // pacer spaces the starts of requests at a cold upstream evenly. With a fixed number of starts for each second, the
 // first requests of a second could use all of them, and nested requests that arrive later in the second cannot wait for
 // the next one.
+//
+// An upstream may have been cold for some time before that is noticed, so the starts of the last second before the notice
+// count too: no more than the rate and the burst start in any second.
 type pacer struct {
 	rate ColdRate
 	// nextStart is when the next of the evenly spaced requests starts.
 	nextStart time.Duration
+	// starts holds the times of at least all starts of the last rateWindow, in ascending order.
+	starts []time.Duration
 }
 
-// untilNextStart returns the time until another request may start, or 0.
+// rateWindow is the time in which the starts of requests at a cold upstream are counted.
+const rateWindow = time.Second
+
+// untilNextStart returns the time until another request may start at the cold upstream, or 0.
 func (p *pacer) untilNextStart(now time.Duration) time.Duration {
 	ahead := time.Duration((p.rate.Burst - 1) * float64(p.rate.interval()))
-	return max(0, p.nextStart-ahead-now)
+	wait := max(0, p.nextStart-ahead-now)
+	if limit := int(p.rate.PerSecond + p.rate.Burst); p.rate.PerSecond > 0 && limit > 0 && len(p.starts) >= limit {
+		wait = max(wait, p.starts[len(p.starts)-limit]+rateWindow-now)
+	}
+	return wait
 }
 
-func (p *pacer) recordStart(now time.Duration) {
-	p.nextStart = max(now, p.nextStart) + p.rate.interval()
+// recordStart records that a request starts. Only the starts at a cold upstream are spaced.
+func (p *pacer) recordStart(now time.Duration, cold bool) {
+	if len(p.starts) == cap(p.starts) {
+		old := 0
+		for old < len(p.starts) && p.starts[old] <= now-rateWindow {
+			old++
+		}
+		p.starts = append(p.starts[:0], p.starts[old:]...)
+	}
+	p.starts = append(p.starts, now)
+	if cold {
+		p.nextStart = max(now, p.nextStart) + p.rate.interval()
+	}
 }
--- a/decision/slots/queue.go
+++ b/decision/slots/queue.go
@@ -145,6 +145,11 @@
 	return q.dispatch(now)
 }
 
+// ExtendCold makes the upstream cold until a time, unless it is cold for longer already.
+func (q *Queue) ExtendCold(now, until time.Duration, rate ColdRate) []Action {
+	return q.SetCold(now, max(until, q.coldUntil), rate)
+}
+
 // Load returns the current load.
 func (q *Queue) Load(now time.Duration) Load {
 	return Load{Running: q.running, Waiting: len(q.waiting), Slots: q.slots, Cold: q.isCold(now), MeanServiceTime: q.meanServiceTime}
@@ -380,7 +385,5 @@
 func (q *Queue) recordStart(now time.Duration) {
 	q.updateSaturation(now)
 	q.running++
-	if q.isCold(now) {
-		q.pacer.recordStart(now)
-	}
+	q.pacer.recordStart(now, q.isCold(now))
 }
--- a/decision/slots/queue_test.go
+++ b/decision/slots/queue_test.go
@@ -286,6 +286,37 @@
 	g.Expect(maxStartsPerSecond(s.starts, length)).To(BeNumerically("<=", perSecond))
 }
 
+// Load: an upstream becomes cold under its full load, and its node notices that up to a health check later. Guards against a
+// second in which the requests before the notice and those after it together exceed the bound.
+func TestColdRateCountsStartsBeforeNotice(t *testing.T) {
+	for _, perSecond := range []float64{20, 30, 45, 60} {
+		for _, notice := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond} {
+			t.Run(fmt.Sprint(perSecond, " a second, noticed after ", notice), func(t *testing.T) {
+				g := NewWithT(t)
+				const cold, over, slack, becameCold, length = 13, 1.5, 5, 2 * time.Second, 5 * time.Second
+				s := newSimulation()
+				s.scheduleRequests(0, length, perSecond)
+				for now := time.Duration(0); now < length; now += 10 * time.Millisecond {
+					s.schedule(now, func(now time.Duration) { s.apply(now, s.queue.Tick(now)) })
+				}
+				s.schedule(becameCold+notice, func(now time.Duration) {
+					s.apply(now, s.queue.SetCold(now, length, NewColdRate(cold, over, slack)))
+				})
+				s.run()
+				var starts []time.Duration
+				for _, at := range s.starts {
+					if at >= becameCold {
+						starts = append(starts, at)
+					}
+				}
+				g.Expect(float64(maxStartsPerSecond(starts, length))).To(BeNumerically("<=", cold*over+slack))
+				// The upstream is used at the rate that it bears.
+				g.Expect(len(starts)).To(BeNumerically(">=", int(0.8*cold*(length-becameCold).Seconds())))
+			})
+		}
+	}
+}
+
 // A node that restarts does not know how many requests it sent to the cold upstream before the restart. The rate has to
 // stay within its bounds all the same.
 func TestRestartedNodeKeepsRateOfColdUpstream(t *testing.T) {
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -58,6 +58,9 @@
 	Log    *logrus.Logger
 	// OnView is called with each new view, from the goroutine of Run.
 	OnView func(*View)
+	// OnCold is called, from the same goroutine, when an entry of the upstream beside this node says that it stays cold for
+	// the given time. The upstream can crash if it gets more than its cold rate. OnCold may be nil.
+	OnCold func(remaining time.Duration)
 }
 
 // Syncer keeps a current View by reading from the store or from other nodes, and serves what it has read to other
@@ -323,15 +326,23 @@
 		s.options.Log.WithError(err).WithField("source", result.source).Warn("a patch does not fit; reading all entries again")
 		s.readEverything = true
 	}
-	viewChanged := false
+	viewChanged, cold := false, time.Duration(0)
 	for _, e := range entries {
-		if change, ok := s.options.Decode(e); ok && s.registry.Apply(now, change) {
-			viewChanged = true
+		change, ok := s.options.Decode(e)
+		if !ok {
+			continue
+		}
+		viewChanged = s.registry.Apply(now, change) || viewChanged
+		if s.registry.saysOwnIsCold(change) {
+			cold = change.Upstream.ColdRemaining
 		}
 	}
 	if viewChanged {
 		s.publish()
 	}
+	if cold > 0 && s.options.OnCold != nil {
+		s.options.OnCold(cold)
+	}
 }
 
 // logStoreContact logs when contact with the store, directly or through other nodes, is lost or regained.
--- a/pkg/mesh/maintainer_test.go
+++ b/pkg/mesh/maintainer_test.go
@@ -77,3 +77,27 @@
 	g.Expect(store.reads.Load()).To(BeNumerically("<=", maxReads))
 	g.Expect(store.reads.Load()).To(BeNumerically(">", 1))
 }
+
+// Guards against a node that sends its upstream the full load after it became cold again, because its entry in the store is
+// not passed on. The cold times of other upstreams don't concern the node.
+func TestColdTimeOfOwnUpstreamIsReported(t *testing.T) {
+	g := NewWithT(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := &storeStub{entries: map[string]Entry{}}
+	store.put("upstream/own", "orders north "+ownAddress)
+	store.put("upstream/other", "orders north 10.0.0.2:9000")
+	reported := make(chan time.Duration, 10)
+	s := NewSyncer(SyncerOptions{
+		VM: "10.0.0.1", DataCentre: "north", UpstreamAddress: ownAddress, HeartbeatInterval: heartbeat, Store: store,
+		PeerSource: func(string) Source { return store }, Decode: decodeTestEntry, Clock: clock.System(), Log: log,
+		OnCold: func(remaining time.Duration) { reported <- remaining },
+	})
+	go s.Run(t.Context())
+	g.Eventually(func() *Upstream { return s.View().OwnUpstream }, 2*time.Second, 5*time.Millisecond).ShouldNot(BeNil())
+	store.put("upstream/other", "orders north 10.0.0.2:9000 2s")
+	store.put("upstream/own", "orders north "+ownAddress+" 3s")
+	g.Eventually(reported, 2*time.Second).Should(Receive(Equal(3 * time.Second)))
+	store.put("upstream/own", "orders north "+ownAddress)
+	g.Consistently(reported, 300*time.Millisecond).ShouldNot(Receive())
+}
--- a/pkg/mesh/reader_restart_test.go
+++ b/pkg/mesh/reader_restart_test.go
@@ -69,7 +69,7 @@
 // Read implements Source.
 func (f sourceFunc) Read(after Position, wait time.Duration) (Delta, error) { return f(after, wait) }
 
-// decodeTestEntry decodes "upstream/ID" with the service, data centre and address as value, and "evacuated/NAME".
+// decodeTestEntry decodes "upstream/ID" with the service, data centre, address and possibly cold time as value, and "evacuated/NAME".
 func decodeTestEntry(e Entry) (Change, bool) {
 	kind, name, _ := strings.Cut(e.Key, "/")
 	if kind == "evacuated" {
@@ -82,6 +82,10 @@
 		return Change{RemovedUpstream: name}, true
 	}
 	fields := strings.Fields(e.Value)
+	if len(fields) > 3 {
+		cold, err := time.ParseDuration(fields[3])
+		return Change{Upstream: &Upstream{ID: name, Service: fields[0], DataCentre: fields[1], Address: fields[2], Slots: 4, ColdRemaining: cold}}, err == nil
+	}
 	return Change{Upstream: &Upstream{ID: name, Service: fields[0], DataCentre: fields[1], Address: fields[2], IP: HostIP(fields[2]), Slots: 4}}, true
 }
 
--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -176,6 +176,16 @@
 	return known == nil || !u.sameInView(known.upstream)
 }
 
+// saysOwnIsCold reports whether the change is the current entry of the node's own upstream and says that it is cold.
+func (r *Registry) saysOwnIsCold(c Change) bool {
+	u := c.Upstream
+	if u == nil || u.Address != r.ownAddress || u.ColdRemaining == 0 {
+		return false
+	}
+	e := r.upstreams[u.ID]
+	return e != nil && e.upstream == u
+}
+
 func (r *Registry) removeUpstream(now time.Duration, id string) bool {
 	e := r.upstreams[id]
 	if e == nil {
--- a/pkg/sidecar/harness_test.go
+++ b/pkg/sidecar/harness_test.go
@@ -32,6 +32,7 @@
 	address         string
 	runs            atomic.Int64
 	coldRemainingMS atomic.Int64
+	checks          atomic.Int64
 	// checkDelay delays the response to each health check, in nanoseconds.
 	checkDelay  atomic.Int64
 	mu          sync.Mutex
@@ -60,6 +61,7 @@
 
 func (u *upstreamStub) handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) == "/health" {
+		u.checks.Add(1)
 		time.Sleep(time.Duration(u.checkDelay.Load()))
 		ctx.Response.Header.Set(headerNames.UpstreamID, u.id)
 		ctx.Response.Header.Set(headerNames.ColdRemainingMS, fmt.Sprint(u.coldRemainingMS.Load()))
--- a/pkg/sidecar/health.go
+++ b/pkg/sidecar/health.go
@@ -9,13 +9,18 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bamboodeal/bamboodeal/decision/slots"
+	"github.com/bamboodeal/bamboodeal/decision/sources"
+	"github.com/bamboodeal/bamboodeal/pkg/mesh"
 	"github.com/bamboodeal/bamboodeal/pkg/peer"
 )
 
 const (
 	// checkInterval is the time between two health checks while the upstream is known. Each check takes one of the
-	// upstream's slots, but only a check shows that the upstream has become cold again.
+	// upstream's slots.
 	checkInterval = 2 * time.Second
+	// disconnectedCheckInterval is the same while the node is out of contact with the store. Only a check then shows that
+	// the upstream has become cold again, after which it tolerates a low rate of requests in each second.
+	disconnectedCheckInterval = 300 * time.Millisecond
 	// recheckInterval is the time between two health checks while the upstream is not known.
 	recheckInterval = 150 * time.Millisecond
 	// checkTimeout bounds one health check.
@@ -83,32 +88,68 @@
 	}
 }
 
+// reportCold records that the upstream's entry in the store says that it is cold. The entry may be old, so a health check
+// is requested, which replaces the time.
+func (h *healthChecker) reportCold(remaining time.Duration) {
+	if service := h.service(); service != nil {
+		rate := h.coldRate(service)
+		h.queue.update(func(now time.Duration) []slots.Action { return h.queue.slots.ExtendCold(now, now+remaining, rate) })
+	}
+	h.requestCheck()
+}
+
 // run checks the upstream regularly until ctx ends.
 func (h *healthChecker) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	checkedAt, known := time.Duration(0), false
 	for {
+		requested := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		case <-h.wake:
+			requested = true
 		}
-		if h.check() {
-			timer.Reset(checkInterval)
+		// The interval may have become shorter since the last check, so the timer fires more often than checks are due.
+		if !known || requested || h.o.Clock.Now()-checkedAt >= h.interval() {
+			checkedAt = h.o.Clock.Now()
+			known = h.check()
+		}
+		if known {
+			timer.Reset(disconnectedCheckInterval)
 		} else {
 			timer.Reset(recheckInterval)
 		}
 	}
 }
 
+// interval returns the time between two health checks while the upstream is known.
+func (h *healthChecker) interval() time.Duration {
+	if h.o.StoreAge() > sources.MaxStoreAge {
+		return disconnectedCheckInterval
+	}
+	return checkInterval
+}
+
+// service returns the service of the upstream in the current configuration, or nil.
+func (h *healthChecker) service() *mesh.Service {
+	config := h.o.View().Config
+	if config == nil {
+		return nil
+	}
+	return config.Services[h.o.Settings.Service]
+}
+
+// coldRate returns the rate of requests for a cold upstream of the service.
+func (h *healthChecker) coldRate(s *mesh.Service) slots.ColdRate {
+	return slots.NewColdRate(s.ColdRequestsPerSecond, h.o.Settings.ColdRateFactor, h.o.Settings.ColdRateSlack)
+}
+
 // check makes one health check and reports whether the upstream is known.
 func (h *healthChecker) check() bool {
-	view := h.o.View()
-	if view.Config == nil {
-		return false
-	}
-	service := view.Config.Services[h.o.Settings.Service]
+	service := h.service()
 	if service == nil {
 		return false
 	}
@@ -127,13 +168,13 @@
 		h.o.Log.WithError(err).Debug("the health check of the upstream failed")
 		return h.upstreamID() != "" && peer.IsTimeout(err)
 	}
-	h.recordCheck(resp, service.ColdRequestsPerSecond)
+	h.recordCheck(resp, h.coldRate(service))
 	return h.upstreamID() != ""
 }
 
-// recordCheck takes the upstream's ID and its cold time from the response to a health check. coldRate is the rate that
-// the upstream can bear while it is cold, in requests per second.
-func (h *healthChecker) recordCheck(resp *fasthttp.Response, coldRate float64) {
+// recordCheck takes the upstream's ID and its cold time from the response to a health check. rate is that of requests while
+// the upstream is cold.
+func (h *healthChecker) recordCheck(resp *fasthttp.Response, rate slots.ColdRate) {
 	id := string(resp.Header.Peek(h.o.Headers.UpstreamID))
 	if id == "" {
 		return
@@ -142,7 +183,6 @@
 	if ms, err := strconv.ParseFloat(string(resp.Header.Peek(h.o.Headers.ColdRemainingMS)), 64); err == nil {
 		cold = time.Duration(ms * float64(time.Millisecond))
 	}
-	rate := slots.NewColdRate(coldRate, h.o.Settings.ColdRateFactor, h.o.Settings.ColdRateSlack)
 	h.queue.update(func(now time.Duration) []slots.Action { return h.queue.slots.SetCold(now, now+cold, rate) })
 	h.mu.Lock()
 	changed := h.id != id
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -121,6 +121,10 @@
 	}
 }
 
+// ReportCold puts the rate for a cold upstream in force at once, for the time that the upstream's entry gives. The control
+// goroutine calls it.
+func (n *Node) ReportCold(remaining time.Duration) { n.controller.health.reportCold(remaining) }
+
 // trackedServer is one of the node's HTTP servers.
 type trackedServer struct {
 	server   interface{ Serve(l net.Listener) error }
