Run the events that kill and start processes of a test in order

Cause: events run side by side. The event that starts the nodes of a data centre comes half a second after the one that kills them; on a machine under load the first one overtook the second and found a node that was still to be killed.

Change: the events of the test that act on processes wait for each other. The same nodes are killed and started, and the checks are the same.

--- a/experiments/load/demo/failures_test.go
+++ b/experiments/load/demo/failures_test.go
@@ -76,6 +76,9 @@
 	// served; it is -1 if the calls could not be made.
 	stopErrors   []error
 	servedProbes int
+	// processEvents makes the events that kill and start processes run in their order. On a machine under load, killing
+	// those of a data centre can take until the event that starts them.
+	processEvents sync.Mutex
 }
 
 // Execute executes the events of these tests and passes other events to the demo.
@@ -117,6 +120,8 @@
 
 // forEachProcess calls do for each process of a data centre, one after the other, until one returns an error.
 func (p *testRun) forEachProcess(dataCentre string, do func(*process) error) error {
+	p.processEvents.Lock()
+	defer p.processEvents.Unlock()
 	for _, n := range p.processes {
 		if n.vm.upstream.DataCentre == dataCentre {
 			if err := do(n); err != nil {
