Give the requests of a test of connection phases more time

Cause: the requests have the route's timeout of 2 s, which is shorter than a step of the test may take on a machine under load. After it the node answers 504 itself, and that short answer is written at once.

Change: the timeout of the test's routes is a minute. Its steps and their bounds are the same.

Evidence: with 2.1 s added before the first or the second response is released, the test failed in the same way at that place, and passes with the longer timeout.

--- a/pkg/sidecar/conns_test.go
+++ b/pkg/sidecar/conns_test.go
@@ -12,6 +12,8 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
+
+	"github.com/bamboodeal/bamboodeal/pkg/mesh"
 )
 
 const (
@@ -75,7 +77,8 @@
 // that looks only at its handlers takes their connections for idle ones.
 func TestConnectionPhasesAreCounted(t *testing.T) {
 	g := NewWithT(t)
-	m := newTestMesh(t, 1, nil)
+	// A machine under load may take seconds for a step; no request may reach its timeout meanwhile.
+	m := newTestMesh(t, 1, func(r *mesh.Route) { r.Timeout = time.Minute })
 	respond := map[string]chan struct{}{"a": make(chan struct{}), "b": make(chan struct{})}
 	m.upstreams[0].setHandler(func(ctx *fasthttp.RequestCtx) {
 		select {
