--- a/review/harness-2/readers.go
+++ b/review/harness-2/readers.go
@@ -1,22 +1,32 @@
 package main
 
 import (
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
 func init() { cases["lost-readers"] = lostReaders }
 
+// lostReadersTime is how long the disruption lasts.
+const lostReadersTime = 5 * time.Second
+
 // lostReaders cuts off three of twelve machines, those whose nodes read the store for their zones, and then lets the operator withdraw
-// a key. All other machines reach the store and each other.
+// a key. All other machines reach the store and each other. With DISRUPTION=freeze, the nodes of three of thirty machines are frozen
+// instead.
 func lostReaders(r *run) bool {
+	freeze, perZone := os.Getenv("DISRUPTION") == "freeze", 4
+	if freeze {
+		perZone = 10
+	}
 	services := []string{"orders"}
 	routes := staleRoutes(0, "orders")
 	both := []team{{name: "red", keys: []string{withdrawnKey, keptKey}, rate: 1000, burst: 1000}}
 	one := []team{{name: "red", keys: []string{keptKey}, rate: 1000, burst: 1000}}
 	var specs []vmSpec
 	for _, zone := range []string{"juazeiro", "crato", "barbalha"} {
-		for range 4 {
+		for range perZone {
 			specs = append(specs, vmSpec{zone, "orders", 2, 150 * time.Millisecond})
 		}
 	}
@@ -41,7 +51,13 @@
 			continue
 		}
 		cut++
-		if r.trouble {
+		switch {
+		case !r.trouble:
+		case freeze:
+			v.signal(syscall.SIGSTOP)
+			defer time.AfterFunc(lostReadersTime, func() { v.signal(syscall.SIGCONT) }).Stop()
+			r.logf("the node of %s in zone %s, which calls the store, is frozen", v.name, v.zone)
+		default:
 			group.Go(func() { r.setMachineCut(v, true) })
 			r.logf("%s in zone %s, whose node calls the store, is cut off from the store and from all other machines", v.name, v.zone)
 		}
@@ -57,7 +73,7 @@
 	held := true
 	for _, v := range others {
 		group.Go(func() {
-			for time.Since(acknowledged) < 5*time.Second {
+			for time.Since(acknowledged) < lostReadersTime {
 				a := staleRequest(v, withdrawnKey)
 				if after := a.sentAt.Sub(acknowledged); after > configApply && a.status != 401 {
 					r.logf("CONFIG: %s was sent to %s %.3f s after the acknowledgement and got status %d", a.id, v.name, after.Seconds(), a.status)
