--- a/review/harness-2/stale.go
+++ b/review/harness-2/stale.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"os"
 	"syscall"
 	"time"
 )
@@ -32,8 +34,10 @@
 }
 
 // staleVersion freezes the node of one of ten machines for 4 s, in which the operator removes idle routes from a configuration of more
-// than 8 KiB, and then withdraws a key and moves a route to another service.
+// than 8 KiB, and then withdraws a key and moves a route to another service. With DISRUPTION=store, the store answers no calls of the
+// only node of a zone for 5 s instead, which is one of three machines then; with PHASE=random the versions come at a random time of that.
 func staleVersion(r *run) bool {
+	silent := os.Getenv("DISRUPTION") == "store"
 	services := []string{"orders", "archive"}
 	both := []team{{name: "red", keys: []string{withdrawnKey, keptKey}, rate: 100, burst: 100}}
 	one := []team{{name: "red", keys: []string{keptKey}, rate: 100, burst: 100}}
@@ -47,24 +51,43 @@
 			specs = append(specs, vmSpec{zone, service, 9, 5 * time.Millisecond})
 		}
 	}
+	if silent {
+		specs = []vmSpec{specs[0], specs[1], specs[5]}
+	}
 	r.startVMs(first, specs...)
 	for _, v := range r.vms {
 		require(staleRequest(v, withdrawnKey).status == 200, "a request was not served before the disruption")
 	}
-	alone := r.machineWithoutStoreCalls("south")
-	if r.trouble {
-		r.logf("the node of %s is frozen", alone.name)
-		alone.signal(syscall.SIGSTOP)
+	var alone *vm
+	between := time.Second
+	if silent {
+		alone, between = r.vms[2], 400*time.Millisecond
+		if r.trouble {
+			r.logf("the store no longer answers %s", alone.name)
+			r.store.setSilent(alone.name, true)
+			r.awaitUnansweredCall(alone)
+		}
+	} else {
+		alone = r.machineWithoutStoreCalls("south")
+		if r.trouble {
+			r.logf("the node of %s is frozen", alone.name)
+			alone.signal(syscall.SIGSTOP)
+		}
+		time.Sleep(500 * time.Millisecond)
 	}
-	time.Sleep(500 * time.Millisecond)
 	r.store.put("op/config", second)
 	r.logf("the store has acknowledged version 00000013, without 30 idle routes")
-	time.Sleep(time.Second)
+	time.Sleep(between)
 	r.store.put("op/config", third)
 	acknowledged := time.Now()
 	r.logf("the store has acknowledged version 00000017, without the key %q and with /patterns/ at archive", withdrawnKey)
 	time.Sleep(freezeTime - 1500*time.Millisecond)
-	if r.trouble {
+	switch {
+	case !r.trouble:
+	case silent:
+		r.store.setSilent(alone.name, false)
+		r.logf("the store answers %s again", alone.name)
+	default:
 		alone.signal(syscall.SIGCONT)
 		r.logf("the node of %s runs again", alone.name)
 	}
@@ -79,6 +102,19 @@
 	return held
 }
 
+// awaitUnansweredCall waits until the node calls the store again, in vain, after it has followed another node for a second. With
+// PHASE=random it waits until a random time of the two seconds that this and the call take.
+func (r *run) awaitUnansweredCall(v *vm) {
+	if os.Getenv("PHASE") == "random" {
+		time.Sleep(2*time.Second + rand.N(2100*time.Millisecond))
+		return
+	}
+	time.Sleep(time.Second)
+	calls := r.store.callCounts()[v.name]
+	r.eventually("a call of the store", 3*time.Second, func() bool { return r.store.callCounts()[v.name] > calls })
+	time.Sleep(100 * time.Millisecond)
+}
+
 func staleRequest(v *vm, key string) answer {
 	return v.send(request{method: "GET", host: staleHost, path: "/orders/1", key: key})
 }
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -29,12 +29,13 @@
 	events   []item
 	revision uint64
 	changed  chan struct{}
-	// calls counts the calls of each VM.
-	calls map[string]int
+	// calls counts the calls of each VM. silent has the VMs whose calls are not answered.
+	calls  map[string]int
+	silent map[string]bool
 }
 
 func newStore() *store {
-	return &store{items: map[string]item{}, revision: 1, changed: make(chan struct{}), calls: map[string]int{}}
+	return &store{items: map[string]item{}, revision: 1, changed: make(chan struct{}), calls: map[string]int{}, silent: map[string]bool{}}
 }
 
 // listenFor returns the address at which the VM reaches the store.
@@ -47,6 +48,15 @@
 	return l.Addr().String()
 }
 
+// setSilent makes the store answer no calls of a VM, or answer them again.
+func (s *store) setSilent(vm string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[vm] = silent
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // callCounts returns how often each VM has called the store.
 func (s *store) callCounts() map[string]int {
 	s.mu.Lock()
@@ -77,13 +87,18 @@
 func (s *store) serve(vm string, w http.ResponseWriter, q *http.Request) {
 	s.mu.Lock()
 	s.calls[vm]++
+	silent := s.silent[vm]
 	s.mu.Unlock()
+	if silent {
+		<-q.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	var answer any
 	switch q.URL.Path {
 	case "/-/kv-range":
 		answer = s.list(q.URL.Query().Get("prefix"))
 	case "/-/kv-watch":
-		answer = s.watch(q)
+		answer = s.watch(vm, q)
 	}
 	if answer == nil {
 		panic(http.ErrAbortHandler)
@@ -107,8 +122,8 @@
 	return map[string]any{"items": items, "has_more": false, "current_rev": s.revision}
 }
 
-// watch waits for events.
-func (s *store) watch(q *http.Request) any {
+// watch waits for events. A VM whose calls are no longer answered gets no answer.
+func (s *store) watch(vm string, q *http.Request) any {
 	after, _ := strconv.ParseUint(q.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.URL.Query().Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
@@ -122,8 +137,12 @@
 				events = append(events, e)
 			}
 		}
-		revision, changed := s.revision, s.changed
+		revision, changed, silent := s.revision, s.changed, s.silent[vm]
 		s.mu.Unlock()
+		if silent {
+			<-q.Context().Done()
+			return nil
+		}
 		if len(events) > 0 || expired {
 			return map[string]any{"events": events, "current_rev": revision}
 		}
