--- a/review/harness-2/stale.go
+++ b/review/harness-2/stale.go
@@ -33,11 +33,12 @@
 	return list
 }
 
-// staleVersion freezes the node of one of ten machines for 4 s, in which the operator removes idle routes from a configuration of more
-// than 8 KiB, and then withdraws a key and moves a route to another service. With DISRUPTION=store, the store answers no calls of the
-// only node of a zone for 5 s instead, which is one of three machines then; with PHASE=random the versions come at a random time of that.
+// staleVersion lets the store answer no calls of one of three machines, the only one of its zone, for 5 s, in which the operator removes
+// idle routes from a configuration of more than 8 KiB, and then withdraws a key and moves a route to another service. With
+// PHASE=random the versions come at a random time of that. With DISRUPTION=freeze, the node of one of ten machines is frozen for 4 s
+// instead.
 func staleVersion(r *run) bool {
-	silent := os.Getenv("DISRUPTION") == "store"
+	silent := os.Getenv("DISRUPTION") != "freeze"
 	services := []string{"orders", "archive"}
 	both := []team{{name: "red", keys: []string{withdrawnKey, keptKey}, rate: 100, burst: 100}}
 	one := []team{{name: "red", keys: []string{keptKey}, rate: 100, burst: 100}}
