Refuse responses whose head is malformed

Cause: only the status was checked before the parser of fasthttp, which tolerates blanks inside and behind names, joins continuation lines, and accepts any version and any byte in the reason phrase. Two parsers then disagree on which line is Content-Length or Transfer-Encoding.

Package api/response now decides which bytes are a response: names are tokens right before the colon (RFC 9110, 5.1; RFC 9112, 5.1), values and the reason phrase have no control bytes (5.5), no continuation lines, HTTP/1 only, status 100 to 599. Each line is checked as soon as it is complete, before anything of the head is parsed. pkg/peer reads all heads with it: from the upstream, between nodes, at the health check, interim ones too. After a refusal nothing is known about the outcome: the connection is closed, an idempotent request goes elsewhere, and a node that asks for a body with such bytes no longer counts as "not run".

The tests of status codes now also have malformed fields and are renamed.

--- a/pkg/gateway/status_test.go
+++ b/pkg/gateway/status_test.go
@@ -22,6 +22,12 @@
 	"HTTP/1.1 103 Hints\r\nLink: leaked\r\n\r\nHTTP/1.1 000 OK", "HTTP/1.1 000 OK\r\nLink: leaked\r\n\r\nHTTP/1.1 200 OK",
 }
 
+// malformedStarts are beginnings of responses with a valid first line and a malformed field.
+var malformedStarts = []string{
+	"HTTP/1.1 200 OK\r\nX Link: leaked", "HTTP/1.1 200 OK\r\nX-Link : leaked", "HTTP/1.1 200 OK\r\n X-Link: leaked",
+	"HTTP/1.1 200 OK\r\nX-Link: \x01leaked", "HTTP/1.1 200 OK\r\nX-Link: a\r\n leaked", "HTTP/1.1 103 Hints\r\nX Link: leaked\r\n\r\nHTTP/1.1 200 OK",
+}
+
 // respondWithStatus answers a request in place of the server: with the given first line, and for the rest like a success. It adds the
 // bytes that then arrive on the connection to bytesBehind.
 func respondWithStatus(ctx *fasthttp.RequestCtx, line string, bytesBehind *atomic.Int64) {
@@ -33,9 +39,9 @@
 	})
 }
 
-// Guards against a response without a valid status code that reaches the caller as a success or is recorded as the result of its call.
-func TestInvalidStatusHasUnknownOutcome(t *testing.T) {
-	for _, line := range invalidStatuses {
+// Guards against a response without a valid head that reaches the caller as a success or is recorded as the result of its call.
+func TestMalformedHeadHasUnknownOutcome(t *testing.T) {
+	for _, line := range append(invalidStatuses, malformedStarts...) {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
 			var ran, bytesBehind atomic.Int64
 			m := newTestMesh(t, map[string]fasthttp.RequestHandler{"shop-1": func(ctx *fasthttp.RequestCtx) {
@@ -58,8 +64,8 @@
 }
 
 // Guards against an error for an idempotent call that another upstream can answer.
-func TestIdempotentCallLeavesUpstreamWithInvalidStatus(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 042 OK", "HTTP/1.1 600 OK"} {
+func TestIdempotentCallLeavesUpstreamWithMalformedHead(t *testing.T) {
+	for _, line := range append([]string{"HTTP/1.1 000", "HTTP/1.1 042 OK", "HTTP/1.1 600 OK"}, malformedStarts...) {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
 			var faulty, bytesBehind atomic.Int64
 			m := newTestMesh(t, map[string]fasthttp.RequestHandler{
@@ -86,9 +92,9 @@
 	}
 }
 
-// Guards against a response between nodes that has no valid status code and reaches the caller.
-func TestNodeWithInvalidStatusHasUnknownOutcome(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 042 OK", "HTTP/1.1 600 OK"} {
+// Guards against a response between nodes that has no valid head and reaches the caller.
+func TestNodeWithMalformedHeadHasUnknownOutcome(t *testing.T) {
+	for _, line := range append([]string{"HTTP/1.1 000", "HTTP/1.1 042 OK", "HTTP/1.1 600 OK"}, malformedStarts...) {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
 			m := newTestMesh(t, map[string]fasthttp.RequestHandler{"shop-1": respondOK})
 			var bytesBehind, calls atomic.Int64
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"syscall"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
+	"github.com/bamboodeal/bamboodeal/api/response"
 	"github.com/bamboodeal/bamboodeal/api/wire"
 )
 
@@ -49,7 +51,7 @@
 var (
 	ErrCallerGone          = errors.New("the caller closed its connection; the call was cancelled")
 	ErrUndelimitedBody     = errors.New("the response has neither Content-Length nor chunks, so its end is uncertain; delimit it")
-	ErrInterimResponse     = errors.New("the response switches protocols or has too many interim responses; answer plain HTTP")
+	ErrInterimResponse     = fmt.Errorf("%w: it switches protocols or has too many interim responses; answer plain HTTP", response.ErrMalformed)
 	ErrDeadlinePassed      = errors.New("the call's deadline passed before it was sent; allow more time")
 	ErrTooManyConnections  = errors.New("all connections to the address are in use; raise the limit or send fewer calls at once")
 	ErrWrongUpstream       = errors.New("another upstream answers at the address; wait for a newer member list")
@@ -116,9 +118,8 @@
 	if c.bodyWhenAsked && len(req.Body()) > 0 {
 		asked, err := c.sendHeader(req, resp, deadline, watch)
 		if err != nil {
-			if !errors.Is(err, ErrInvalidStatus) {
-				// The node passes on no request before it has the body. A server that answers without a valid status
-				// code is no node.
+			if !errors.Is(err, response.ErrMalformed) {
+				// The node passes on no request before it has the body. A server whose bytes are no response is no node.
 				c.written = 0
 			}
 			return err
@@ -157,8 +158,8 @@
 // SendBodyWhenAsked makes the next Send hold back the body until the node at the other end asks for it (RFC 9110, section
 // 10.1.1). If the node refuses the request instead, the body is not sent and the connection can be used again. A node
 // that does not answer at all within askTimeout counts as unresponsive; one that needs more time announces that with an
-// interim response. Until the body is sent, a failed Send returns NotSent, unless it got a response without a valid
-// status code. Nodes work like this; other servers may expect the body nevertheless.
+// interim response. Until the body is sent, a failed Send returns NotSent, unless it got bytes that are no response. Nodes
+// work like this; other servers may expect the body nevertheless.
 func (c *Conn) SendBodyWhenAsked() { c.bodyWhenAsked = true }
 
 // sendHeader sends the header of a request and waits until the node asks for the body. It returns false if the final
@@ -265,7 +266,7 @@
 	if err != nil || !bytes.Equal(statusLine, interimStatusLine) {
 		return false, c.responseError(err)
 	}
-	return true, c.responseError(readHeader(c.reader, &resp.Header))
+	return true, c.responseError(response.ReadHead(c.reader, &resp.Header))
 }
 
 // awaitFirstByte waits for the first byte of a response. It wakes up every CallerCheckInterval, so that it notices
@@ -335,7 +336,7 @@
 	// The body of an earlier attempt must not remain in a response that has no body.
 	resp.ResetBody()
 	for n := 0; ; n++ {
-		if err := readHeader(r, &resp.Header); err != nil {
+		if err := response.ReadHead(r, &resp.Header); err != nil {
 			return err
 		}
 		if resp.StatusCode() >= fasthttp.StatusOK {
--- a/pkg/peer/status_test.go
+++ b/pkg/peer/status_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bamboodeal/bamboodeal/api/response"
 	"github.com/bamboodeal/bamboodeal/pkg/clock"
 )
 
@@ -60,7 +62,7 @@
 					p := NewPool(PoolOptions{Clock: clock.System(), AllowCloseDelimited: true})
 					t.Cleanup(p.CloseIdleConnections)
 					sent, resp, err := exchangeWatched(p, address, watched)
-					g.Expect(err).To(MatchError(ErrInvalidStatus))
+					g.Expect(err).To(MatchError(response.ErrInvalidStatus))
 					g.Expect(sent).To(Equal(NoResponse))
 					g.Expect(p.OpenConnections()).To(BeZero())
 					g.Expect(resp.Body()).To(BeEmpty())
@@ -83,7 +85,7 @@
 				p := NewPool(PoolOptions{Clock: clock.System(), AllowCloseDelimited: true})
 				t.Cleanup(p.CloseIdleConnections)
 				sent, resp, err := exchangeWatched(p, address, watched)
-				g.Expect(err).To(MatchError(ErrInvalidStatus))
+				g.Expect(err).To(MatchError(response.ErrInvalidStatus))
 				g.Expect(sent).To(Equal(NoResponse))
 				g.Expect(p.OpenConnections()).To(BeZero())
 				g.Expect(resp.Body()).To(BeEmpty())
@@ -123,10 +125,15 @@
 	}
 }
 
-// Guards against an answer without a valid status code to a request whose body waits to be asked for: the server does not follow the
-// protocol of nodes, so whether the request ran is unknown.
-func TestAskedServerWithoutValidStatusLeavesOutcomeUnknown(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 1x0 Continue", "HTTP/1.1 099 Continue"} {
+// Guards against "not run" after an answer with a malformed head to a request whose body waits to be asked for: the server does not
+// follow the protocol of nodes, so whether the request ran is unknown.
+func TestAskedServerWithMalformedHeadLeavesOutcomeUnknown(t *testing.T) {
+	for line, expected := range map[string]error{
+		"HTTP/1.1 000 OK": response.ErrInvalidStatus, "HTTP/1.1 1x0 Continue": response.ErrInvalidStatus, "HTTP/1.1 099 Continue": response.ErrInvalidStatus,
+		"HTTP/1.1 100 Continue\r\nA B: c": response.ErrInvalidField, "HTTP/1.1 503 Full\r\nA : b": response.ErrInvalidField,
+		"HTTP/1.1 100 Con\x00tinue": response.ErrInvalidHead, "HTTP/1.1 503 Full\r\nContent-Length: 6": response.ErrMalformed,
+		strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxInterimResponses+2) + "HTTP/1.1 503 Full": ErrInterimResponse,
+	} {
 		g := NewWithT(t)
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		g.Expect(err).NotTo(HaveOccurred())
@@ -149,24 +156,28 @@
 		req.Header.SetMethod(fasthttp.MethodPost)
 		req.SetBodyString("body")
 		sent, err := c.Send(req, resp, time.Now().Add(testDeadline), nil)
-		g.Expect(err).To(MatchError(ErrInvalidStatus), line)
+		g.Expect(err).To(MatchError(expected), line)
 		g.Expect(sent).To(Equal(NoResponse), line)
 		g.Expect(p.OpenConnections()).To(BeZero())
 		_ = l.Close()
 	}
 }
 
-// Guards against a hello whose answer has no valid status code and is taken for that of a node.
-func TestHelloWithoutValidStatusIsNoAnswer(t *testing.T) {
-	g := NewWithT(t)
-	address := newRawServer(t, func(c net.Conn, _ string) bool {
-		body := `{"upstream":"u","state":"serving","epoch":"e"}`
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 000\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		return true
-	})
-	p := NewPool(PoolOptions{Clock: clock.System(), SendHello: true})
-	t.Cleanup(p.CloseIdleConnections)
-	_, err := p.Acquire(Target{Address: address, Upstream: "u"}, time.Now().Add(testDeadline), false)
-	g.Expect(err).To(MatchError(ErrInvalidStatus))
-	g.Expect(p.OpenConnections()).To(BeZero())
+// Guards against a hello whose answer has a malformed head and is taken for that of a node.
+func TestHelloWithMalformedHeadIsNoAnswer(t *testing.T) {
+	for start, expected := range map[string]error{
+		"HTTP/1.1 000": response.ErrInvalidStatus, "HTTP/1.1 200 OK\r\nA B: c": response.ErrInvalidField, "HTTP/1.1 200 OK\r\nA : b": response.ErrInvalidField,
+	} {
+		g := NewWithT(t)
+		address := newRawServer(t, func(c net.Conn, _ string) bool {
+			body := `{"upstream":"u","state":"serving","epoch":"e"}`
+			_, _ = fmt.Fprintf(c, "%s\r\nContent-Length: %d\r\n\r\n%s", start, len(body), body)
+			return true
+		})
+		p := NewPool(PoolOptions{Clock: clock.System(), SendHello: true})
+		t.Cleanup(p.CloseIdleConnections)
+		_, err := p.Acquire(Target{Address: address, Upstream: "u"}, time.Now().Add(testDeadline), false)
+		g.Expect(err).To(MatchError(expected), start)
+		g.Expect(p.OpenConnections()).To(BeZero())
+	}
 }
--- a/pkg/sidecar/status_test.go
+++ b/pkg/sidecar/status_test.go
@@ -97,9 +97,9 @@
 	}
 }
 
-// Guards against an error for a read that another upstream can answer, when the first one gives no valid status code.
-func TestReadIsRepeatedAfterInvalidStatus(t *testing.T) {
-	for i, line := range invalidStatuses {
+// Guards against an error for a read that another upstream can answer, when the first one gives no valid head.
+func TestReadIsRepeatedAfterMalformedHead(t *testing.T) {
+	for i, line := range append(invalidStatuses, malformedStarts...) {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
 			g := NewWithT(t)
 			m := newTestMesh(t, 2, nil)
@@ -121,9 +121,9 @@
 	}
 }
 
-// Guards against a hedge that cancels the first attempt for a response without a valid status code.
-func TestHedgeWithoutValidStatusDoesNotWin(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 042 OK", "HTTP/1.1 600 OK"} {
+// Guards against a hedge that cancels the first attempt for a response without a valid head.
+func TestHedgeWithMalformedHeadDoesNotWin(t *testing.T) {
+	for _, line := range append([]string{"HTTP/1.1 000 OK", "HTTP/1.1 042 OK", "HTTP/1.1 600 OK"}, malformedStarts...) {
 		for entry := range 2 {
 			t.Run(fmt.Sprintf("%q, entry %d", line, entry), func(t *testing.T) {
 				g := NewWithT(t)
@@ -150,9 +150,9 @@
 	}
 }
 
-// Guards against a health check that takes the ID and the cold time of an upstream from a response without a valid status code.
-func TestHealthCheckWithoutValidStatusIsNoAnswer(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 0200 OK", "HTTP/1.1 600 OK"} {
+// Guards against a health check that takes the ID and the cold time of an upstream from a response without a valid head.
+func TestHealthCheckWithMalformedHeadIsNoAnswer(t *testing.T) {
+	for _, line := range append([]string{"HTTP/1.1 000", "HTTP/1.1 0200 OK", "HTTP/1.1 600 OK"}, malformedStarts...) {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
 			g := NewWithT(t)
 			l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -226,10 +226,11 @@
 	return requestsBehind
 }
 
-// Guards against a response between nodes that has no valid status code and reaches the caller, and against a read that fails
+// Guards against a response between nodes that has no valid head and reaches the caller, and against a read that fails
 // although another upstream can answer it.
-func TestNodeWithoutValidStatusLeavesOutcomeUnknown(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 000 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 042 OK", "HTTP/1.1 600 OK", "HTTP/1.1 1x2 Processing"} {
+func TestNodeWithMalformedHeadLeavesOutcomeUnknown(t *testing.T) {
+	statuses := []string{"HTTP/1.1 000", "HTTP/1.1 000 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 042 OK", "HTTP/1.1 600 OK", "HTTP/1.1 1x2 Processing"}
+	for _, line := range append(statuses, malformedStarts...) {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
 			g := NewWithT(t)
 			// The routes are public because the faulty node may hold the team's limit.
@@ -251,9 +252,9 @@
 	}
 }
 
-// Guards against a message from another node that is taken for an answer although it has no valid status code.
-func TestMessageWithoutValidStatusIsNoAnswer(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 000 OK", "HTTP/1.1 042 OK", "HTTP/1.1 600 OK"} {
+// Guards against a message from another node that is taken for an answer although it has no valid head.
+func TestMessageWithMalformedHeadIsNoAnswer(t *testing.T) {
+	for _, line := range append([]string{"HTTP/1.1 000", "HTTP/1.1 000 OK", "HTTP/1.1 042 OK", "HTTP/1.1 600 OK"}, malformedStarts...) {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
 			g := NewWithT(t)
 			l, err := net.Listen("tcp4", "127.0.0.1:0")
