Drop the trailer fields of responses

Cause: the trailer section was read into the header of the response with the tolerant parser, and removing the header Trailer moves its fields into the head.

The section is now checked by the rule for heads and dropped, as RFC 9110, 6.5.1 allows; nothing of it is acted on.

Evidence: without the change in pkg/peer, TestTrailerFieldsAreDropped fails and TestMalformedResponseLeavesOutcomeUnknown reports 10 responses with malformed trailers that reached the caller.

--- a/api/response/head.go
+++ b/api/response/head.go
@@ -117,6 +117,20 @@
 	return nil
 }
 
+// DiscardTrailer reads the trailer section behind the last chunk of a body. It checks the fields like those of a head and drops them:
+// a recipient must not take them for fields of the head unless their definition allows that (RFC 9110, section 6.5.1).
+func DiscardTrailer(r *bufio.Reader) error {
+	section, err := peekSection(r, nil)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	_, err = r.Discard(len(section))
+	return err
+}
+
 // peekSection returns a head or a trailer section up to the empty line that ends it, after checking each line as soon as it is
 // complete. The section stays in the reader, whose buffer bounds it. checkFirst, if not nil, checks the first line; empty lines before
 // that are skipped, as by parsers.
--- a/api/response/head_test.go
+++ b/api/response/head_test.go
@@ -132,3 +132,34 @@
 		}
 	}
 }
+
+// Guards against a trailer section that is read beyond its end, or in which lines are accepted that a head must not have.
+func TestTrailerSectionIsDiscarded(t *testing.T) {
+	sections := map[string]error{
+		"\r\n": nil, "A: b\r\n\r\n": nil, "A: b\r\nC: d\n\r\n": nil, "": io.ErrUnexpectedEOF, "A: b\r\n": io.ErrUnexpectedEOF,
+		"A B: c\r\n": response.ErrInvalidField, "A : b\r\n\r\n": response.ErrInvalidField, " A: b\r\n\r\n": response.ErrInvalidField,
+		"A: b\r\n c\r\n\r\n": response.ErrInvalidField, "A: b\x00\r\n\r\n": response.ErrInvalidField, "A\r\n\r\n": response.ErrInvalidField,
+		"A: " + strings.Repeat("x", bufferSize): response.ErrHeadTooLarge,
+	}
+	for section, expected := range sections {
+		rest := ""
+		if expected == nil {
+			rest = "HTTP"
+		}
+		for division, text := range pieces(section + rest) {
+			t.Run(fmt.Sprintf("%.60q in %s", section, division), func(t *testing.T) {
+				g := NewWithT(t)
+				r := bufio.NewReaderSize(text, bufferSize)
+				err := response.DiscardTrailer(r)
+				if expected != nil {
+					g.Expect(err).To(MatchError(expected))
+					return
+				}
+				g.Expect(err).NotTo(HaveOccurred())
+				left, err := io.ReadAll(r)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(string(left)).To(Equal(rest))
+			})
+		}
+	}
+}
--- a/pkg/peer/body.go
+++ b/pkg/peer/body.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/bamboodeal/bamboodeal/api/response"
 )
 
 const (
@@ -137,7 +139,7 @@
 		if err := readBodyInto(resp, httputil.NewChunkedReader(r), -1, maxBytes, budget); err != nil {
 			return err
 		}
-		return resp.Header.ReadTrailer(r)
+		return response.DiscardTrailer(r)
 	}
 	// The body ends with the connection.
 	if err := readBodyInto(resp, r, -1, maxBytes, budget); err != nil {
--- a/pkg/sidecar/malformed_test.go
+++ b/pkg/sidecar/malformed_test.go
@@ -34,14 +34,15 @@
 	"HTTP/1.1 200 OK\r\nX-Link: a\r\n leaked", "HTTP/1.1 103 Hints\r\nX Link: leaked\r\n\r\nHTTP/1.1 200 OK",
 }
 
-// malformedHeads returns responses that have the given line in the head, in each place, or in the head of an interim response. %ID
-// stands for the headers of a proper response.
-func malformedHeads(line string) []string {
+// responsesWithField returns responses that have the given line in the head, in each place, in the head of an interim response, or in
+// the trailer section. %ID stands for the headers of a proper response.
+func responsesWithField(line string) []string {
 	return []string{
 		"HTTP/1.1 200 OK\r\n%ID" + line + "\r\nContent-Length: 6\r\n\r\nleaked",
 		"HTTP/1.1 200 OK\r\n" + line + "\r\n%IDContent-Length: 6\r\n\r\nleaked",
 		"HTTP/1.1 200 OK\r\n%IDContent-Length: 6\r\n" + line + "\r\n\r\nleaked",
 		"HTTP/1.1 103 Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n%IDContent-Length: 6\r\n\r\nleaked",
+		"HTTP/1.1 200 OK\r\n%IDTransfer-Encoding: chunked\r\n\r\n6\r\nleaked\r\n0\r\n" + line + "\r\n\r\n",
 	}
 }
 
@@ -55,7 +56,7 @@
 func malformedResponses() []string {
 	list := slices.Clone(malformedFirstLines)
 	for _, line := range malformedFields {
-		list = append(list, malformedHeads(line)...)
+		list = append(list, responsesWithField(line)...)
 	}
 	return list
 }
@@ -91,7 +92,7 @@
 	return resp.StatusCode, raw.String()
 }
 
-// Guards against a response with a malformed head that reaches the caller as a success: a faulty upstream wrote field
+// Guards against a response with a malformed head or trailer section that reaches the caller as a success: a faulty upstream wrote field
 // names with blanks and control bytes, and callers got these lines, or a body that was not the upstream's. The order may have run
 // and must not run again, and the connection must not carry the next request.
 func TestMalformedResponseLeavesOutcomeUnknown(t *testing.T) {
@@ -170,3 +171,25 @@
 	}
 	g.Expect(bytesBehind.Load()).To(BeZero())
 }
+
+// Guards against trailer fields that callers get as fields of the head, or that the node acts on: a faulty upstream may send its stamp,
+// or that it did not run the request, behind the body. They are dropped.
+func TestTrailerFieldsAreDropped(t *testing.T) {
+	for name, upstream := range map[string]int{"own upstream": 0, "upstream of another node": 1} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newTestMesh(t, 2, func(r *mesh.Route) { r.Public = true })
+			m.useOnlyUpstream(upstream)
+			fields := fmt.Sprintf("X-Sum: trailed\r\n%s: trailed\r\n%s: trailed\r\nKeep-Alive: timeout=0\r\n", headerNames.UpstreamStamp, headerNames.NotExecuted)
+			m.upstreams[upstream].setHandler(func(ctx *fasthttp.RequestCtx) {
+				var bytesBehind atomic.Int64
+				respondRaw(ctx, "HTTP/1.1 200 OK\r\n%IDTrailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+fields+"\r\n", &bytesBehind)
+			})
+			status, got := m.sendOrder("a")
+			g.Expect(status).To(Equal(fasthttp.StatusOK))
+			g.Expect(got).To(HaveSuffix("\r\n\r\nbody"))
+			g.Expect(got).NotTo(Or(ContainSubstring("trailed"), ContainSubstring("X-Sum")))
+			g.Expect(m.runs()).To(Equal(int64(1)))
+		})
+	}
+}
