Refuse responses whose end is ambiguous

The rule for heads now refuses a transfer coding beside a length, or in a version that has none (RFC 9112, 6.1 and 6.3).

Evidence: without the change, TestMalformedResponseLeavesOutcomeUnknown reports 2 of 3 such responses that reached the caller and 1 that kept it until its deadline, from the own upstream and from that of another node.

--- a/api/response/head.go
+++ b/api/response/head.go
@@ -19,6 +19,7 @@
 	ErrInvalidStatus = fmt.Errorf("%w: there is no valid status code; make the server answer with three digits from 100 to 599", ErrMalformed)
 	ErrInvalidHead   = fmt.Errorf("%w: the status line or the end of the head is not valid; make the server answer in HTTP/1", ErrMalformed)
 	ErrInvalidField  = fmt.Errorf("%w: a field line is not valid; make the server send names that are tokens and values without control bytes", ErrMalformed)
+	ErrAmbiguousEnd  = fmt.Errorf("%w: it is not certain where the body ends; make the server send either a length or, in HTTP/1.1, chunks", ErrMalformed)
 	ErrHeadTooLarge  = fmt.Errorf("%w: the head or the trailer section is too large; make the server send fewer fields", ErrMalformed)
 )
 
@@ -111,12 +112,30 @@
 	if !bytes.HasSuffix(head, []byte("\r\n\r\n")) {
 		return ErrInvalidHead
 	}
+	if hasAmbiguousEnd(head) {
+		return ErrAmbiguousEnd
+	}
 	if err := header.Read(r); err != nil {
 		return fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return nil
 }
 
+// hasAmbiguousEnd reports whether a head, whose lines are valid, has both a length and a transfer coding, or a transfer coding in a
+// version that has none (RFC 9112, sections 6.1 and 6.3).
+func hasAmbiguousEnd(head []byte) bool {
+	statusLine, fields, _ := bytes.Cut(bytes.TrimLeft(head, "\r\n"), []byte{'\n'})
+	length, coding := false, false
+	for len(fields) > 0 {
+		var line []byte
+		line, fields, _ = bytes.Cut(fields, []byte{'\n'})
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		length = length || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
+		coding = coding || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
+	}
+	return coding && (length || !bytes.HasPrefix(statusLine, []byte("HTTP/1.1 ")))
+}
+
 // DiscardTrailer reads the trailer section behind the last chunk of a body. It checks the fields like those of a head and drops them:
 // a recipient must not take them for fields of the head unless their definition allows that (RFC 9110, section 6.5.1).
 func DiscardTrailer(r *bufio.Reader) error {
--- a/api/response/head_test.go
+++ b/api/response/head_test.go
@@ -36,15 +36,19 @@
 		"HTTP/1.1 200 O\x00K\r\n": response.ErrInvalidHead, "HTTP/1.1 200 O\rK\r\n": response.ErrInvalidHead, "HTTP/1.1 200 \x7f\r\n": response.ErrInvalidHead,
 		"HTTP/2.0 200 OK\r\n": response.ErrInvalidHead, "HTTP/1.10 200 OK\r\n": response.ErrInvalidHead, "ICY 200 OK\r\n": response.ErrInvalidHead,
 		"HTTP/1.x 200 OK\r\n": response.ErrInvalidHead, "http/1.1 200 OK\r\n": response.ErrInvalidHead,
-		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", bufferSize):          response.ErrHeadTooLarge,
-		strings.Repeat("x", bufferSize):                                     response.ErrHeadTooLarge,
-		"HTTP/1.1 200 OK\n\n":                                               response.ErrInvalidHead,
-		"HTTP/1.1 200 OK\r\nA: b\r\n\n":                                     response.ErrInvalidHead,
-		"HTTP/1.1 200 OK\r\nA: b\n\r\n":                                     response.ErrInvalidHead,
-		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n":                     response.ErrMalformed,
-		"HTTP/1.1 200 OK\r\nContent-Length: 1, 1\r\n\r\n":                   response.ErrMalformed,
-		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n": response.ErrMalformed,
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n":                response.ErrMalformed,
+		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", bufferSize):                           response.ErrHeadTooLarge,
+		strings.Repeat("x", bufferSize):                                                      response.ErrHeadTooLarge,
+		"HTTP/1.1 200 OK\n\n":                                                                response.ErrInvalidHead,
+		"HTTP/1.1 200 OK\r\nA: b\r\n\n":                                                      response.ErrInvalidHead,
+		"HTTP/1.1 200 OK\r\nA: b\n\r\n":                                                      response.ErrInvalidHead,
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n":                                      response.ErrMalformed,
+		"HTTP/1.1 200 OK\r\nContent-Length: 1, 1\r\n\r\n":                                    response.ErrMalformed,
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n":                  response.ErrMalformed,
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n":         response.ErrAmbiguousEnd,
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nA: b\r\ncontent-length: 1\r\n\r\n": response.ErrAmbiguousEnd,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                              response.ErrAmbiguousEnd,
+		"\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                          response.ErrAmbiguousEnd,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n":                                 response.ErrMalformed,
 	}
 	for b := range 256 {
 		name := string([]byte{'A', byte(b), 'B'})
@@ -86,14 +90,15 @@
 	}
 	heads := map[string][2]string{
 		"HTTP/1.1 200 OK\r\n\r\n": {}, "HTTP/1.1 200\r\n\r\n": {}, "HTTP/1.1 200 \r\n\r\n": {}, "HTTP/1.0  200 OK\r\n\r\n": {},
-		"\r\n\n\r\nHTTP/1.1 200 \xe9 \t!\r\n\r\n":                {},
-		"HTTP/1.1 200 OK\r\nA: b\r\n\r\n":                        {"A", "b"},
-		"HTTP/1.1 200 OK\r\nA:b\r\n\r\n":                         {"A", "b"},
-		"HTTP/1.1 200 OK\r\nA: \t b \t \r\n\r\n":                 {"A", "b"},
-		"HTTP/1.1 200 OK\r\nA:\r\nB: c: d\r\n\r\n":               {"B", "c: d"},
-		"HTTP/1.1 200 OK\nA: b\nB: c\r\n\r\n":                    {"B", "c"},
-		"HTTP/1.1 200 OK\r\nA!#$%&'*+-.^_`|~9z: b\r\n\r\n":       {"A!#$%&'*+-.^_`|~9z", "b"},
-		"HTTP/1.1 200 OK\r\nA: x" + texts.String() + "x\r\n\r\n": {"A", "x" + texts.String() + "x"},
+		"\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n": {},
+		"\r\n\n\r\nHTTP/1.1 200 \xe9 \t!\r\n\r\n":                   {},
+		"HTTP/1.1 200 OK\r\nA: b\r\n\r\n":                           {"A", "b"},
+		"HTTP/1.1 200 OK\r\nA:b\r\n\r\n":                            {"A", "b"},
+		"HTTP/1.1 200 OK\r\nA: \t b \t \r\n\r\n":                    {"A", "b"},
+		"HTTP/1.1 200 OK\r\nA:\r\nB: c: d\r\n\r\n":                  {"B", "c: d"},
+		"HTTP/1.1 200 OK\nA: b\nB: c\r\n\r\n":                       {"B", "c"},
+		"HTTP/1.1 200 OK\r\nA!#$%&'*+-.^_`|~9z: b\r\n\r\n":          {"A!#$%&'*+-.^_`|~9z", "b"},
+		"HTTP/1.1 200 OK\r\nA: x" + texts.String() + "x\r\n\r\n":    {"A", "x" + texts.String() + "x"},
 	}
 	for head, field := range heads {
 		for division, text := range pieces(head + "body") {
--- a/pkg/sidecar/malformed_test.go
+++ b/pkg/sidecar/malformed_test.go
@@ -52,9 +52,17 @@
 	"HTTP/2.0 200 OK\r\n%IDContent-Length: 6\r\n\r\nleaked", "HTTP/0.9 200 OK\r\n%IDContent-Length: 6\r\n\r\nleaked",
 }
 
-// malformedResponses returns responses with each malformed field in each place, and those with a malformed first line.
+// ambiguousEnds are responses whose body ends elsewhere for different parsers.
+var ambiguousEnds = []string{
+	"HTTP/1.1 200 OK\r\n%IDContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nleaked\r\n0\r\n\r\n",
+	"HTTP/1.0 200 OK\r\n%IDTransfer-Encoding: chunked\r\n\r\n6\r\nleaked\r\n0\r\n\r\n",
+	"HTTP/1.0 200 OK\r\n%IDTransfer-Encoding: chunked\r\nContent-Length: 6\r\nConnection: keep-alive\r\n\r\nleaked",
+}
+
+// malformedResponses returns responses with each malformed field in each place, those with a malformed first line, and those with an
+// ambiguous end.
 func malformedResponses() []string {
-	list := slices.Clone(malformedFirstLines)
+	list := append(slices.Clone(malformedFirstLines), ambiguousEnds...)
 	for _, line := range malformedFields {
 		list = append(list, responsesWithField(line)...)
 	}
