--- a/pkg/peer/body.go
+++ b/pkg/peer/body.go
@@ -1,10 +1,7 @@
 package peer
 
 import (
-	"bufio"
-	"errors"
 	"io"
-	"net/http/httputil"
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
@@ -13,21 +10,18 @@
 )
 
 const (
-	// UncountedBodyBytes is the part of each response body, in bytes, that a BodyBudget does not count. Most bodies are
-	// smaller, so other responses still arrive when large or endless ones have used up the budget. Together with the
+	// UncountedBodyBytes is the part of each response body, in bytes, that a BodyBudget does not count. Together with the
 	// limits on connections it bounds the uncounted memory: 64 KiB x 128 connections are 8 MiB.
-	UncountedBodyBytes = 64 << 10
+	UncountedBodyBytes = response.UncountedBytes
 	// UncountedRequestBytes is the same part of each request body. It is smaller, because the callers of a node may have
 	// thousands of connections.
 	UncountedRequestBytes = 8 << 10
-	// firstBufferBytes is the size in bytes of the first buffer for a body of unknown length.
-	firstBufferBytes = 4 << 10
 )
 
 // Errors of Conn.Send about the body of a response.
 var (
-	ErrResponseTooLarge = errors.New("the body of the response is larger than the node accepts; send a smaller body")
-	ErrBodyBudgetSpent  = errors.New("the node holds too many bytes of responses at once; send smaller bodies or fewer large ones at once")
+	ErrResponseTooLarge = response.ErrTooLarge
+	ErrBodyBudgetSpent  = response.ErrBudgetSpent
 )
 
 // BodyBudget bounds the bytes of the response bodies that a node holds at once, beyond UncountedBodyBytes of each body.
@@ -52,11 +46,8 @@
 // fits reports whether the budget allows n more bytes now.
 func (b *BodyBudget) fits(n int64) bool { return b == nil || b.used.Load()+n <= b.limit }
 
-// Release counts n bytes of a body that ReadBody has read as no longer held.
-func (b *BodyBudget) Release(n int64) { b.release(n) }
-
-// tryTake counts n more bytes as held and reports whether the budget allows that.
-func (b *BodyBudget) tryTake(n int64) bool {
+// TryTake counts n more bytes as held and reports whether the budget allows that.
+func (b *BodyBudget) TryTake(n int64) bool {
 	if b == nil || n == 0 {
 		return true
 	}
@@ -71,8 +62,8 @@
 	}
 }
 
-// release counts n bytes as no longer held.
-func (b *BodyBudget) release(n int64) {
+// Release counts n bytes as no longer held.
+func (b *BodyBudget) Release(n int64) {
 	if b != nil {
 		b.used.Add(-n)
 	}
@@ -120,45 +111,11 @@
 }
 
 func (h *heldBody) Close() error {
-	h.budget.release(h.counted)
+	h.budget.Release(h.counted)
 	h.rest, h.counted = nil, 0
 	return nil
 }
 
-// readBody reads the body of a response whose head has been read. Memory is allocated only as bytes arrive, because the
-// announced length of a body or chunk says nothing about how much of it will come.
-func readBody(r *bufio.Reader, resp *fasthttp.Response, maxBytes int, budget *BodyBudget) error {
-	switch length := resp.Header.ContentLength(); {
-	case length > maxBytes:
-		return ErrResponseTooLarge
-	case length >= 0 && length <= UncountedBodyBytes:
-		return resp.ReadBody(r, maxBytes)
-	case length >= 0:
-		return readBodyInto(resp, r, length, length, budget)
-	case length == -1:
-		if err := readBodyInto(resp, httputil.NewChunkedReader(r), -1, maxBytes, budget); err != nil {
-			return err
-		}
-		return response.DiscardTrailer(r)
-	}
-	// The body ends with the connection.
-	if err := readBodyInto(resp, r, -1, maxBytes, budget); err != nil {
-		return err
-	}
-	resp.Header.SetContentLength(len(resp.Body()))
-	return nil
-}
-
-// readBodyInto reads a body of length bytes, or up to the end of src if length is -1, and makes it the body of resp.
-func readBodyInto(resp *fasthttp.Response, src io.Reader, length, maxBytes int, budget *BodyBudget) error {
-	body, counted, err := readGrowing(src, length, maxBytes, UncountedBodyBytes, budget)
-	budget.release(counted)
-	if err == nil {
-		resp.SetBodyRaw(body)
-	}
-	return err
-}
-
 // ReadBody reads the body of a request, of length bytes or up to the end of src if length is -1. counted is the part of
 // it that the budget counts until the caller of ReadBody releases it, also after an error. If the body does not fit into
 // the budget, the error is ErrBodyBudgetSpent and body holds what was read of it, which is nothing if the length shows
@@ -170,56 +127,5 @@
 	if length >= 0 {
 		maxBytes = length
 	}
-	return readGrowing(src, length, maxBytes, UncountedRequestBytes, budget)
-}
-
-// readGrowing reads a body into a buffer that is at most twice as large as what has arrived, and counts all but the first
-// uncounted bytes of the buffer in the budget.
-func readGrowing(src io.Reader, length, maxBytes, uncounted int, budget *BodyBudget) (body []byte, counted int64, err error) {
-	size := min(firstBufferBytes, maxBytes)
-	if length >= 0 {
-		size = min(length, uncounted)
-	}
-	body = make([]byte, 0, size)
-	for len(body) != length {
-		if len(body) == cap(body) {
-			if len(body) == maxBytes {
-				return body, counted, expectEnd(src)
-			}
-			size = min(2*cap(body), maxBytes)
-			more := max(0, int64(size-uncounted)) - counted
-			if !budget.tryTake(more) {
-				return body, counted, ErrBodyBudgetSpent
-			}
-			counted += more
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := src.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case errors.Is(err, io.EOF) && length >= 0 && len(body) != length:
-			return body, counted, io.ErrUnexpectedEOF
-		case errors.Is(err, io.EOF):
-			return body, counted, nil
-		case err != nil:
-			return body, counted, err
-		}
-	}
-	return body, counted, nil
-}
-
-// expectEnd fails if src has more bytes.
-func expectEnd(src io.Reader) error {
-	var next [1]byte
-	for {
-		n, err := src.Read(next[:])
-		switch {
-		case n > 0:
-			return ErrResponseTooLarge
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return err
-		}
-	}
+	return response.ReadGrowing(src, length, maxBytes, UncountedRequestBytes, budget)
 }
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -2,10 +2,8 @@
 package peer
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"syscall"
@@ -24,9 +22,6 @@
 	writeBufferSize = 4 << 10
 )
 
-// maxInterimResponses bounds the 1xx responses before the final one.
-const maxInterimResponses = 8
-
 // interimStatusLine is how the status line of an interim response starts.
 var interimStatusLine = []byte("HTTP/1.1 1")
 
@@ -50,8 +45,8 @@
 // Errors of Pool.Acquire and Conn.Send.
 var (
 	ErrCallerGone          = errors.New("the caller closed its connection; the call was cancelled")
-	ErrUndelimitedBody     = errors.New("the response has neither Content-Length nor chunks, so its end is uncertain; delimit it")
-	ErrInterimResponse     = fmt.Errorf("%w: it switches protocols or has too many interim responses; answer plain HTTP", response.ErrMalformed)
+	ErrUndelimitedBody     = response.ErrUndelimitedBody
+	ErrInterimResponse     = response.ErrInterim
 	ErrDeadlinePassed      = errors.New("the call's deadline passed before it was sent; allow more time")
 	ErrTooManyConnections  = errors.New("all connections to the address are in use; raise the limit or send fewer calls at once")
 	ErrWrongUpstream       = errors.New("another upstream answers at the address; wait for a newer member list")
@@ -179,7 +174,7 @@
 	if answerBy.After(deadline) {
 		answerBy = deadline
 	}
-	for n := 0; err == nil && n <= maxInterimResponses; n++ {
+	for n := 0; err == nil && n <= response.MaxInterim; n++ {
 		err := c.awaitFirstByte(answerBy, watch)
 		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline) {
 			return false, ErrNodeUnresponsive
@@ -207,10 +202,13 @@
 	if c.maxBodyBytes > 0 {
 		maxBodyBytes = min(maxBodyBytes, c.maxBodyBytes)
 	}
+	limits := response.Limits{
+		MaxBodyBytes: maxBodyBytes, Budget: c.pool.options.BodyBudget, AllowCloseDelimited: c.pool.options.AllowCloseDelimited,
+	}
 	c.watchReads(watch, deadline)
 	defer c.unwatchReads()
 	for n := 0; ; n++ {
-		if err := readResponse(c.reader, resp, req.Header.IsHead(), maxBodyBytes, c.pool.options.AllowCloseDelimited, c.pool.options.BodyBudget); err != nil {
+		if err := response.Read(c.reader, resp, req.Header.IsHead(), &limits); err != nil {
 			return c.responseError(err)
 		}
 		if c.pool.options.MatchResponse == nil || c.pool.options.MatchResponse(req, resp) {
@@ -247,7 +245,7 @@
 		if err != nil || !interim {
 			return err
 		}
-		if n >= maxInterimResponses {
+		if n >= response.MaxInterim {
 			return ErrInterimResponse
 		}
 		if len(resp.Header.Peek(WaitingHeader)) > 0 {
@@ -329,33 +327,6 @@
 	return c.hasBufferedBytes() || (c.probe.update() == nil && c.probe.open && !c.probe.idle)
 }
 
-// readResponse reads the final response and its complete body. Unless allowCloseDelimited is set, it refuses a body
-// that ends with the connection, because such a body may have been cut short.
-func readResponse(r *bufio.Reader, resp *fasthttp.Response, headRequest bool, maxBodyBytes int, allowCloseDelimited bool, budget *BodyBudget) error {
-	resp.SkipBody = headRequest
-	// The body of an earlier attempt must not remain in a response that has no body.
-	resp.ResetBody()
-	for n := 0; ; n++ {
-		if err := response.ReadHead(r, &resp.Header); err != nil {
-			return err
-		}
-		if resp.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
-		if n >= maxInterimResponses || resp.StatusCode() == fasthttp.StatusSwitchingProtocols {
-			return ErrInterimResponse
-		}
-	}
-	if headRequest || resp.StatusCode() == fasthttp.StatusNoContent || resp.StatusCode() == fasthttp.StatusNotModified {
-		return nil
-	}
-	// fasthttp returns the length -2 for a body that ends with the connection, and -1 for a chunked body.
-	if resp.Header.ContentLength() == -2 && !allowCloseDelimited {
-		return ErrUndelimitedBody
-	}
-	return readBody(r, resp, maxBodyBytes, budget)
-}
-
 // socketProbe checks the state of a socket without reading from it. It is not safe for concurrent use.
 type socketProbe struct {
 	rawConn syscall.RawConn
--- a/pkg/peer/status_test.go
+++ b/pkg/peer/status_test.go
@@ -132,7 +132,7 @@
 		"HTTP/1.1 000 OK": response.ErrInvalidStatus, "HTTP/1.1 1x0 Continue": response.ErrInvalidStatus, "HTTP/1.1 099 Continue": response.ErrInvalidStatus,
 		"HTTP/1.1 100 Continue\r\nA B: c": response.ErrInvalidField, "HTTP/1.1 503 Full\r\nA : b": response.ErrInvalidField,
 		"HTTP/1.1 100 Con\x00tinue": response.ErrInvalidHead, "HTTP/1.1 503 Full\r\nContent-Length: 6": response.ErrMalformed,
-		strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxInterimResponses+2) + "HTTP/1.1 503 Full": ErrInterimResponse,
+		strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", response.MaxInterim+2) + "HTTP/1.1 503 Full": ErrInterimResponse,
 	} {
 		g := NewWithT(t)
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/pkg/peer/watch_test.go
+++ b/pkg/peer/watch_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bamboodeal/bamboodeal/api/response"
 	"github.com/bamboodeal/bamboodeal/pkg/clock"
 )
 
@@ -92,8 +93,8 @@
 	g.Expect(result).To(Equal(ResponseReceived))
 	g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusOK))
 	g.Expect(reports).To(Equal(2))
-	endless := make([]string, 0, 2*maxInterimResponses)
-	for range 2 * maxInterimResponses {
+	endless := make([]string, 0, 2*response.MaxInterim)
+	for range 2 * response.MaxInterim {
 		endless = append(endless, interimResponse)
 	}
 	_, _, err = sendTo(t, watch, 0, endless...)
