Read all other responses by the same rule and within bounds

What was seen: nodes took the contents of the store, tokens of a limit, polls and platform answers, and operators the status of a node, from responses with malformed heads and trailers. A store whose response announced a length of 100 TB ended each node that read it: "fatal error: out of memory", with all requests of its callers. The response to a read of the store had no bound at all.

Cause: these clients used the parser of fasthttp behind a connection that checked only the first line, and that parser allocates what a head or a chunk line announces.

The client that sends each request once moves to api/httpclient and reads with package response: the rule for heads, memory only as bytes arrive, a bound for the body, one time limit for the exchange. The store, the holders of limits, polls, the platform's service and operator ports use it; the head of a lease stream is read by the rule too. Idle connections now expire by themselves, as those of the replaced clients did. Bodies in JSON with more than 131,072 elements are refused, because two bytes can take a hundred once they are decoded. Answers to polls and of the platform's service may have 16 MiB, 64 before, which did not fit into the 128 MB that a node may take.

Endless responses of holders and operator ports were bounded already.

The connection that checked first lines is gone, and its tests with it: api/response tests the same lines and many more at each division of the bytes, api/httpclient that each response of a connection is checked.

--- a/api/platform/single_attempt_client.go
+++ b/api/httpclient/client.go
@@ -1,4 +1,5 @@
-package platform
+// Package httpclient sends HTTP requests once and reads the responses by the rules of package response.
+package httpclient
 
 import (
 	"bufio"
@@ -10,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/bamboodeal/bamboodeal/api/wire"
+	"github.com/bamboodeal/bamboodeal/api/response"
 )
 
 const (
@@ -19,19 +20,30 @@
 	maxIdleAge = 10 * time.Second
 	// maxIdleConnsPerAddress bounds the idle connections to one address.
 	maxIdleConnsPerAddress = 4
-	// maxResponseBytes bounds a response, which may carry a whole configuration of a few values of at most 1 MiB.
-	maxResponseBytes = 64 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 16 << 10
 )
 
+// Options configure a SingleAttemptClient.
+type Options struct {
+	// Dialer opens the connections; nil means one without options.
+	Dialer *net.Dialer
+	// MaxBodyBytes is the size in bytes of the largest body of a response.
+	MaxBodyBytes int
+}
+
 // SingleAttemptClient sends HTTP requests with fasthttp's codec over its own connections. The fasthttp clients repeat
-// idempotent requests and requests on closed connections by themselves, and may leave a request running after its
-// timeout. A SingleAttemptClient sends each request once and closes the connection after any failure. It is safe for
-// concurrent use.
+// idempotent requests and requests on closed connections by themselves, may leave a request running after its timeout,
+// and accept bytes that are no response. A SingleAttemptClient sends each request once and closes the connection after
+// any failure. It is safe for concurrent use.
 type SingleAttemptClient struct {
 	dialer net.Dialer
+	limits response.Limits
 	mu     sync.Mutex
 	idle   map[string][]*pooledConn
-	now    func() time.Time
+	// expiring is true while a timer is set that closes the expired connections.
+	expiring bool
+	now      func() time.Time
 }
 
 // pooledConn is a connection that is kept for reuse between requests.
@@ -41,19 +53,27 @@
 	idleSince time.Time
 }
 
-// NewSingleAttemptClient returns a client that opens its connections from the local IP address dialAddress. When
-// dialAddress is empty, the system chooses the address.
-func NewSingleAttemptClient(dialAddress string) (*SingleAttemptClient, error) {
-	c := &SingleAttemptClient{idle: map[string][]*pooledConn{}, now: time.Now}
+// New returns a client.
+func New(o Options) *SingleAttemptClient {
+	c := &SingleAttemptClient{
+		idle: map[string][]*pooledConn{}, now: time.Now, limits: response.Limits{MaxBodyBytes: o.MaxBodyBytes, Budget: response.Unlimited{}},
+	}
+	if o.Dialer != nil {
+		c.dialer = *o.Dialer
+	}
+	return c
+}
+
+// DialerFrom returns a dialer from a local IP address, or from any address if it is empty. It fails if the text is not an IP address.
+func DialerFrom(dialAddress string) (*net.Dialer, error) {
 	if dialAddress == "" {
-		return c, nil
+		return &net.Dialer{}, nil
 	}
 	ip := net.ParseIP(dialAddress)
 	if ip == nil {
 		return nil, fmt.Errorf("dial address %q is not an IP address; set dial_address to one of this VM's", dialAddress)
 	}
-	c.dialer.LocalAddr = &net.TCPAddr{IP: ip}
-	return c, nil
+	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: ip}}, nil
 }
 
 // Do sends req to addr, a host and port, and reads resp. It fails after timeout, or when ctx ends, and closes the
@@ -69,7 +89,7 @@
 	}
 	// When ctx ends, a deadline in the past makes a blocked read or write return at once.
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	err = sendAndReceive(conn, req, resp)
+	err = c.sendAndReceive(conn, req, resp)
 	if !stop() || err != nil {
 		_ = conn.Close()
 		if ctx.Err() != nil {
@@ -77,7 +97,7 @@
 		}
 		return err
 	}
-	if resp.ConnectionClose() || conn.reader.Buffered() > 0 {
+	if req.ConnectionClose() || resp.ConnectionClose() || conn.reader.Buffered() > 0 {
 		_ = conn.Close()
 		return nil
 	}
@@ -86,7 +106,7 @@
 }
 
 // sendAndReceive writes the request and reads the response on an open connection.
-func sendAndReceive(conn *pooledConn, req *fasthttp.Request, resp *fasthttp.Response) error {
+func (c *SingleAttemptClient) sendAndReceive(conn *pooledConn, req *fasthttp.Request, resp *fasthttp.Response) error {
 	w := bufio.NewWriter(conn)
 	if err := req.Write(w); err != nil {
 		return err
@@ -94,7 +114,7 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	return resp.ReadLimitBody(conn.reader, maxResponseBytes)
+	return response.Read(conn.reader, resp, req.Header.IsHead(), &c.limits)
 }
 
 // acquireConn returns an idle connection to addr that is young enough for reuse, or opens a new one.
@@ -113,8 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn = wire.CheckStatuses(conn)
-	return &pooledConn{Conn: conn, reader: bufio.NewReader(conn)}, nil
+	return &pooledConn{Conn: conn, reader: bufio.NewReaderSize(conn, maxHeadBytes)}, nil
 }
 
 // takeIdleConn removes the connection to addr that was used last from the pool; it returns nil when there is none.
@@ -145,10 +164,27 @@
 		return
 	}
 	c.idle[addr] = append(c.idle[addr], conn)
+	c.scheduleExpiry()
+}
+
+// scheduleExpiry makes the idle connections be closed once they are too old. c.mu is held.
+func (c *SingleAttemptClient) scheduleExpiry() {
+	if c.expiring {
+		return
+	}
+	c.expiring = true
+	time.AfterFunc(maxIdleAge, func() {
+		c.CloseExpiredConnections()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.expiring = false; len(c.idle) > 0 {
+			c.scheduleExpiry()
+		}
+	})
 }
 
-// CloseExpiredConnections closes the connections that have been idle for too long to be reused. A client with many
-// addresses needs regular calls of it: other calls check only the connections to the address that they use.
+// CloseExpiredConnections closes the connections that have been idle for too long to be reused. That also happens by
+// itself, up to maxIdleAge later.
 func (c *SingleAttemptClient) CloseExpiredConnections() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/api/platform/single_attempt_client_test.go
+++ b/api/httpclient/client_test.go
@@ -1,4 +1,4 @@
-package platform
+package httpclient
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
-	"github.com/bamboodeal/bamboodeal/api/wire"
+	"github.com/bamboodeal/bamboodeal/api/response"
 )
 
 // Guards against connections that are never closed: when a node starts, it sends one request to each node of its data
@@ -21,8 +21,7 @@
 	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
 	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Shutdown() }()
-	c, err := NewSingleAttemptClient("")
-	g.Expect(err).NotTo(HaveOccurred())
+	c := New(Options{MaxBodyBytes: 1 << 20})
 	now := time.Unix(0, 0)
 	c.now = func() time.Time { return now }
 	address := l.Addr().String()
@@ -39,8 +38,8 @@
 }
 
 // Guards against an invalid local address that is reported only by the first request, or without the setting's name.
-func TestNewSingleAttemptClientRejectsInvalidAddress(t *testing.T) {
-	_, err := NewSingleAttemptClient("nonsense")
+func TestDialerFromRejectsInvalidAddress(t *testing.T) {
+	_, err := DialerFrom("nonsense")
 	NewWithT(t).Expect(err).To(MatchError(ContainSubstring("dial_address")))
 }
 
@@ -58,11 +57,10 @@
 				ctx.Hijack(func(c net.Conn) { _, _ = c.Write([]byte(line + "\r\nContent-Length: 6\r\n\r\nleaked")) })
 			}}
 			go func() { _ = server.Serve(l) }()
-			c, err := NewSingleAttemptClient("")
-			g.Expect(err).NotTo(HaveOccurred())
+			c := New(Options{MaxBodyBytes: 1 << 20})
 			req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 			req.SetRequestURI("http://" + l.Addr().String() + "/")
-			g.Expect(c.Do(context.Background(), l.Addr().String(), req, resp, 10*time.Second)).To(MatchError(wire.ErrInvalidStatus))
+			g.Expect(c.Do(context.Background(), l.Addr().String(), req, resp, 10*time.Second)).To(MatchError(response.ErrInvalidStatus))
 			g.Expect(resp.Body()).To(BeEmpty())
 			g.Expect(c.idle).To(BeEmpty())
 		})
--- a/api/operator/client.go
+++ b/api/operator/client.go
@@ -1,14 +1,14 @@
 package operator
 
 import (
-	"encoding/json"
-	"net"
+	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"github.com/bamboodeal/bamboodeal/api/wire"
+	"github.com/bamboodeal/bamboodeal/api/httpclient"
+	"github.com/bamboodeal/bamboodeal/api/response"
 )
 
 // ErrNoAnswer means that a node's operator port gave no usable response. All errors of the client wrap it.
@@ -20,30 +20,12 @@
 // Client reads the operator ports of nodes. It is safe for concurrent use.
 type Client struct {
 	timeout time.Duration
-	client  *fasthttp.Client
+	client  *httpclient.SingleAttemptClient
 }
 
 // NewClient returns a client with a time limit for each call.
 func NewClient(timeout time.Duration) *Client {
-	return &Client{
-		timeout: timeout,
-		client: &fasthttp.Client{
-			NoDefaultUserAgentHeader: true,
-			ReadTimeout:              timeout,
-			WriteTimeout:             timeout,
-			MaxResponseBodySize:      maxResponseBytes,
-			// By default fasthttp repeats idempotent requests; here, the first failure must be reported.
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			Dial: func(address string) (net.Conn, error) {
-				conn, err := fasthttp.DialDualStackTimeout(address, timeout)
-				if err != nil {
-					return nil, err
-				}
-				return wire.CheckStatuses(conn), nil
-			},
-		},
-	}
+	return &Client{timeout: timeout, client: httpclient.New(httpclient.Options{MaxBodyBytes: maxResponseBytes})}
 }
 
 // Status reads the status of the node whose operator port is at the address, a host and port.
@@ -62,20 +44,18 @@
 
 // get reads the JSON document at the path and decodes it into the value into.
 func (c *Client) get(address, path string, into any) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + path)
-	// The connection's deadlines enforce the time limit, so no request stays in flight after it.
-	request.SetTimeout(c.timeout)
-	request.SetConnectionClose()
-	if err := c.client.Do(request, response); err != nil {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + path)
+	req.SetConnectionClose()
+	if err := c.client.Do(context.Background(), address, req, resp, c.timeout); err != nil {
 		return eris.Wrapf(ErrNoAnswer, "%s%s: %v", address, path, err)
 	}
-	if code := response.StatusCode(); code != fasthttp.StatusOK {
+	if code := resp.StatusCode(); code != fasthttp.StatusOK {
 		return eris.Wrapf(ErrNoAnswer, "%s%s: status %d", address, path, code)
 	}
-	if err := json.Unmarshal(response.Body(), into); err != nil {
+	if err := response.DecodeJSON(resp.Body(), into); err != nil {
 		return eris.Wrapf(ErrNoAnswer, "%s%s: not the expected JSON: %v", address, path, err)
 	}
 	return nil
--- a/api/platform/client.go
+++ b/api/platform/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -14,6 +13,9 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/bamboodeal/bamboodeal/api/httpclient"
+	"github.com/bamboodeal/bamboodeal/api/response"
 )
 
 // Errors that Client returns in addition to those of Source.
@@ -31,6 +33,8 @@
 	// service otherwise answers within milliseconds.
 	defaultTimeout = time.Second
 	headerRevision = "X-Revision"
+	// maxResponseBytes bounds a response, which carries one value of at most 1 MiB, a manifest or the list of members.
+	maxResponseBytes = 16 << 20
 )
 
 // ClientOptions configure a Client.
@@ -50,17 +54,18 @@
 	paths        []string
 	addressIndex atomic.Uint32
 	timeout      time.Duration
-	*SingleAttemptClient
+	*httpclient.SingleAttemptClient
 }
 
 var _ Source = (*Client)(nil)
 
 // NewClient returns a Client, or an error that states which address is invalid.
 func NewClient(o ClientOptions) (*Client, error) {
-	client, err := NewSingleAttemptClient(o.DialAddress)
+	dialer, err := httpclient.DialerFrom(o.DialAddress)
 	if err != nil {
 		return nil, err
 	}
+	client := httpclient.New(httpclient.Options{Dialer: dialer, MaxBodyBytes: maxResponseBytes})
 	c := &Client{timeout: o.Timeout, SingleAttemptClient: client}
 	if c.timeout == 0 {
 		c.timeout = defaultTimeout
@@ -125,7 +130,7 @@
 		return nil, err
 	}
 	list := &MemberList{}
-	if err := json.Unmarshal(r.body, list); err != nil {
+	if err := response.DecodeJSON(r.body, list); err != nil {
 		return nil, fmt.Errorf("%w: member list: %w", ErrMalformed, err)
 	}
 	if list.Revision < after {
@@ -135,8 +140,8 @@
 	return list, nil
 }
 
-// response holds the parts of an HTTP response that the calls use.
-type response struct {
+// result holds the parts of an HTTP response that the calls use.
+type result struct {
 	status      int
 	body        []byte
 	revision    uint64
@@ -145,7 +150,7 @@
 
 // get sends one request to the current address and maps the status to the errors above. After a failed exchange or an
 // unexpected status, the following calls use the next address.
-func (c *Client) get(ctx context.Context, path string, wait time.Duration) (response, error) {
+func (c *Client) get(ctx context.Context, path string, wait time.Duration) (result, error) {
 	i := int(c.addressIndex.Load()) % len(c.hosts)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -155,25 +160,25 @@
 	if err := c.Do(ctx, c.hosts[i], req, resp, wait+c.timeout); err != nil {
 		c.CloseIdleConnectionsTo(c.hosts[i])
 		c.useNextAddress()
-		return response{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return result{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	r := response{status: resp.StatusCode()}
+	r := result{status: resp.StatusCode()}
 	switch r.status {
 	case fasthttp.StatusOK, fasthttp.StatusNotModified:
 	case fasthttp.StatusTooManyRequests:
-		return response{}, ErrReadLimit
+		return result{}, ErrReadLimit
 	case fasthttp.StatusNotFound:
-		return response{}, ErrNotFound
+		return result{}, ErrNotFound
 	default:
 		c.useNextAddress()
-		return response{}, fmt.Errorf("%w: status %d", ErrUnavailable, r.status)
+		return result{}, fmt.Errorf("%w: status %d", ErrUnavailable, r.status)
 	}
 	// fasthttp reuses the response after this call, so the body is copied.
 	r.body = append([]byte(nil), resp.Body()...)
 	if text := string(resp.Header.Peek(headerRevision)); text != "" {
 		revision, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			return response{}, fmt.Errorf("%w: %s %q", ErrMalformed, headerRevision, text)
+			return result{}, fmt.Errorf("%w: %s %q", ErrMalformed, headerRevision, text)
 		}
 		r.revision, r.hasRevision = revision, true
 	}
--- a/pkg/distribution/maintainer.go
+++ b/pkg/distribution/maintainer.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/bamboodeal/bamboodeal/api/httpclient"
 	"github.com/bamboodeal/bamboodeal/api/platform"
 	"github.com/bamboodeal/bamboodeal/api/wire"
 	decide "github.com/bamboodeal/bamboodeal/decision/distribution"
@@ -24,6 +25,8 @@
 	tickInterval = 100 * time.Millisecond
 	// queueLength bounds the job results that wait for the control goroutine. Jobs block while the queue is full.
 	queueLength = 64
+	// maxAnswerBytes bounds the answer to a poll, which may carry a whole configuration of a few values of at most 1 MiB.
+	maxAnswerBytes = 16 << 20
 	// closeExpiredInterval is how often connections that are no longer used are closed.
 	closeExpiredInterval = 5 * time.Second
 )
@@ -34,8 +37,8 @@
 type Syncer struct {
 	options   Options
 	machine   *decide.StateMachine
-	client    *platform.SingleAttemptClient
-	clientErr error
+	client    *httpclient.SingleAttemptClient
+	dialerErr error
 
 	results         chan jobResult
 	versionHints    chan decide.VersionAnnounced
@@ -102,7 +105,8 @@
 		stopped:         make(chan struct{}),
 		sources:         make([]sourceState, len(options.Sources)),
 	}
-	syncer.client, syncer.clientErr = platform.NewSingleAttemptClient(options.DialAddress)
+	dialer, err := httpclient.DialerFrom(options.DialAddress)
+	syncer.client, syncer.dialerErr = httpclient.New(httpclient.Options{Dialer: dialer, MaxBodyBytes: maxAnswerBytes}), err
 	syncer.machine = decide.NewStateMachine(decide.Options{
 		Self:          decide.Node{VM: options.VM, DataCentre: options.DataCentre, Address: options.ControlAddress},
 		SourceCount:   len(options.Sources),
@@ -117,8 +121,8 @@
 
 // Run keeps the configuration up to date until ctx ends, and then returns nil. It may be called only once.
 func (s *Syncer) Run(ctx context.Context) error {
-	if s.clientErr != nil {
-		return s.clientErr
+	if s.dialerErr != nil {
+		return s.dialerErr
 	}
 	s.jobsCtx, s.cancelJobs = context.WithCancel(ctx)
 	ticker := time.NewTicker(tickInterval)
--- a/pkg/ratelimit/status_test.go
+++ b/pkg/ratelimit/status_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bamboodeal/bamboodeal/api/response"
 	"github.com/bamboodeal/bamboodeal/api/wire"
 	"github.com/bamboodeal/bamboodeal/pkg/ratelimit"
 )
@@ -38,7 +39,7 @@
 			go func() { _ = server.Serve(l) }()
 			transport := ratelimit.NewHTTPTransport(netip.Addr{})
 			resp, err := transport.RequestLease(l.Addr().String(), wire.LeaseRequest{})
-			g.Expect(err).To(MatchError(wire.ErrInvalidStatus))
+			g.Expect(err).To(MatchError(response.ErrInvalidStatus))
 			g.Expect(resp.Grants).To(BeEmpty())
 			g.Eventually(closed).Should(BeClosed())
 			g.Expect(bytesBehind.Load()).To(BeZero())
--- a/pkg/ratelimit/stream.go
+++ b/pkg/ratelimit/stream.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bamboodeal/bamboodeal/api/response"
 	"github.com/bamboodeal/bamboodeal/api/wire"
 )
 
@@ -191,7 +192,7 @@
 		return eris.Wrap(err, "the quota holder did not answer; check that its node runs and is reachable")
 	}
 	// The head of a response with status 101 has no body, although it has no length either.
-	if err := resp.Header.Read(s.reader); err != nil {
+	if err := response.ReadHead(s.reader, &resp.Header); err != nil {
 		return eris.Wrap(err, "the quota holder did not answer; check that its node runs and is reachable")
 	}
 	if resp.StatusCode() != fasthttp.StatusSwitchingProtocols {
--- a/pkg/ratelimit/transport.go
+++ b/pkg/ratelimit/transport.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/netip"
@@ -9,16 +10,20 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bamboodeal/bamboodeal/api/httpclient"
+	"github.com/bamboodeal/bamboodeal/api/response"
 	"github.com/bamboodeal/bamboodeal/api/wire"
 )
 
-// leaseTimeout bounds connecting, writing and reading. It is shorter than the 300 ms after which the borrower gives a
+// leaseTimeout bounds an exchange, with the connection attempt. It is shorter than the 300 ms after which the borrower gives a
 // request up, so that a connection without an answer is closed before the borrower asks again.
 const leaseTimeout = 250 * time.Millisecond
 
 // HTTPTransport is a Transport that sends JSON over HTTP. StreamTransport uses it for handovers and for holders that have
 // no lease streams.
-type HTTPTransport struct{ client *fasthttp.Client }
+type HTTPTransport struct {
+	client *httpclient.SingleAttemptClient
+}
 
 // newDialer returns a dialer from the source address, or from any address if source is not valid.
 func newDialer(source netip.Addr) *net.Dialer {
@@ -31,26 +36,7 @@
 
 // NewHTTPTransport returns a transport that dials from the source address, or from any address if source is not valid.
 func NewHTTPTransport(source netip.Addr) *HTTPTransport {
-	dialer := newDialer(source)
-	return &HTTPTransport{client: &fasthttp.Client{
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := dialer.Dial("tcp", address)
-			if err != nil {
-				return nil, err
-			}
-			return wire.CheckStatuses(conn), nil
-		},
-		ReadTimeout:         leaseTimeout,
-		WriteTimeout:        leaseTimeout,
-		MaxIdleConnDuration: 10 * time.Second,
-		MaxResponseBodySize: maxMessageSize,
-		// The User-Agent header has no meaning between nodes and would make the messages longer.
-		NoDefaultUserAgentHeader: true,
-		// The client must not repeat a request by itself, because that would lease twice; the borrower decides when to
-		// ask again.
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	return &HTTPTransport{httpclient.New(httpclient.Options{Dialer: newDialer(source), MaxBodyBytes: maxMessageSize})}
 }
 
 // RequestLease sends a lease request to the node at the control address.
@@ -64,7 +50,7 @@
 }
 
 // postJSON sends a message to a path of the address and decodes the response.
-func postJSON[Response any](client *fasthttp.Client, address, path string, message any) (Response, error) {
+func postJSON[Response any](client *httpclient.SingleAttemptClient, address, path string, message any) (Response, error) {
 	var answer Response
 	body, err := json.Marshal(message)
 	if err != nil {
@@ -75,18 +61,17 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetNoDefaultContentType(true)
-	req.SetRequestURI("http://" + address + path)
+	req.SetRequestURI(path)
 	// Nodes are reached by IP and port, so the Host header has no meaning. A short name keeps the message short.
-	req.UseHostHeader = true
 	req.Header.SetHost("node")
 	req.SetBodyRaw(body)
-	if err := client.Do(req, resp); err != nil {
+	if err := client.Do(context.Background(), address, req, resp, leaseTimeout); err != nil {
 		return answer, eris.Wrap(err, "the quota holder did not answer; check that its node runs and is reachable")
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return answer, eris.Errorf("the quota holder answered with status %d: %s", resp.StatusCode(), resp.Body())
 	}
-	if err := json.Unmarshal(resp.Body(), &answer); err != nil {
+	if err := response.DecodeJSON(resp.Body(), &answer); err != nil {
 		return answer, eris.Wrap(err, "the quota holder's response is not valid JSON; run the same release on all nodes")
 	}
 	return answer, nil
--- a/pkg/sidecar/message.go
+++ b/pkg/sidecar/message.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bamboodeal/bamboodeal/api/response"
 	"github.com/bamboodeal/bamboodeal/pkg/mesh"
 	"github.com/bamboodeal/bamboodeal/pkg/peer"
 )
@@ -63,7 +64,7 @@
 			return eris.Wrap(err, "the node's answer cannot be decompressed; run the same release on all nodes")
 		}
 	}
-	return json.Unmarshal(answered, into)
+	return response.DecodeJSON(answered, into)
 }
 
 // decodeMessage decodes the body of a request. If that fails, it sets the response's status and returns false.
