Show that endless responses leave memory for other callers

A report of other operators: a faulty upstream sent bytes without end, in a head or a body, the machine kept them all and ended. This holds here for the upstream, for what answers in place of another node, for health checks and for messages between nodes. The test of bodies is extended by heads, interim responses, chunk lines and trailer sections; checks and messages get a test of their own. They count the memory of the runtime.

--- a/pkg/sidecar/endless_test.go
+++ b/pkg/sidecar/endless_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bamboodeal/bamboodeal/api/response/responsetest"
 	"github.com/bamboodeal/bamboodeal/pkg/mesh"
 )
 
@@ -298,10 +299,9 @@
 	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
 }
 
-// Guards against endless or slow bodies that use up the memory of the VM, whether they announce a length or not, and
-// against other requests that fail meanwhile.
-func TestEndlessBodiesLeaveMemoryForOthers(t *testing.T) {
-	const deadline = 3 * time.Second
+// Guards against endless or slow responses that use up the memory of the VM, in their heads, bodies or trailer sections, and against
+// other requests that fail meanwhile.
+func TestEndlessResponsesLeaveMemoryForOthers(t *testing.T) {
 	// Bodies of a medium rate stay below all limits on a single body for the whole deadline.
 	block := megabyte[:16<<10]
 	bodies := []endlessResponse{
@@ -311,6 +311,22 @@
 		{first: "%IDTransfer-Encoding: chunked\r\n\r\n", repeated: "4000\r\n" + block + "\r\n", pause: trickle},
 		{first: "%IDTransfer-Encoding: chunked\r\n\r\n1f00000\r\n", repeated: block, pause: trickle},
 	}
+	names := []string{
+		"line", "slow-line", "headers", "slow-headers", "interim", "slow-interim", "chunk-extension", "slow-chunk-extension", "chunk-extensions",
+		"trailer-line", "slow-trailer-line", "trailers", "slow-trailers", "huge-length", "huge-chunk",
+	}
+	heads := append(make([]endlessResponse, 0, 1+len(names)), endlessResponse{repeated: megabyte})
+	for _, name := range names {
+		heads = append(heads, endlessResponses[name])
+	}
+	for name, responses := range map[string][]endlessResponse{"bodies": bodies, "heads and trailers": heads} {
+		t.Run(name, func(t *testing.T) { testMemoryWithEndless(t, responses) })
+	}
+}
+
+// testMemoryWithEndless makes an upstream give endless responses, of the given kinds, to many callers at once.
+func testMemoryWithEndless(t *testing.T, responses []endlessResponse) {
+	const deadline = 3 * time.Second
 	g := NewWithT(t)
 	m := newTestMesh(t, 1, func(r *mesh.Route) { r.MaxAttempts, r.Timeout = 1, 2*deadline })
 	m.allowManyRequests()
@@ -320,7 +336,7 @@
 			return
 		}
 		id := ctx.Request.Header.Peek(headerNames.RequestID)
-		bodies[i%len(bodies)].writeTo(ctx.Conn(), fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n", headerNames.RequestID, id, headerNames.UpstreamStamp))
+		responses[i%len(responses)].writeTo(ctx.Conn(), fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n", headerNames.RequestID, id, headerNames.UpstreamStamp))
 		_ = ctx.Conn().Close()
 	})
 	defer debug.SetGCPercent(debug.SetGCPercent(collectorPercent))
@@ -354,6 +370,33 @@
 	g.Expect(peak).To(BeNumerically("<", uint64(smallestMemory)), "bytes of memory in use at the peak")
 }
 
+// Guards against a health check or a message between nodes that uses up the memory or waits beyond its time limit because of a response
+// without end.
+func TestEndlessChecksAndMessagesAreBounded(t *testing.T) {
+	const messageTimeout, maxCheckMemory, maxMessageMemory = time.Second, 8 << 20, 5 * maxMessageSize
+	for name, endless := range responsetest.EndlessResponses() {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newTestMesh(t, 1, nil)
+			server := responsetest.Serve(t, endless.Write)
+			o := m.nodes[0].o
+			o.Settings.UpstreamAddress = server.Address
+			h := newHealthChecker(&o, m.nodes[0].controller.pool, m.nodes[0].controller.queue)
+			started := time.Now()
+			peak := responsetest.PeakMemory(func() { g.Expect(h.check()).To(BeFalse()) })
+			g.Expect(time.Since(started)).To(BeNumerically("<", checkTimeout+maxAnswerDelay))
+			g.Expect(peak).To(BeNumerically("<", maxCheckMemory), "bytes of memory for a check")
+			started = time.Now()
+			peak = responsetest.PeakMemory(func() {
+				g.Expect(postMessage(m.nodes[0].peerPool, server.Address, storeChangesPath, struct{}{}, &struct{}{}, messageTimeout)).NotTo(Succeed())
+			})
+			g.Expect(time.Since(started)).To(BeNumerically("<", messageTimeout+maxAnswerDelay))
+			g.Expect(peak).To(BeNumerically("<", maxMessageMemory), "bytes of memory for a message")
+			g.Eventually(server.Open.Load, time.Second).Should(BeZero())
+		})
+	}
+}
+
 // Guards against an idle connection that stays open while bytes without end arrive on it. Requests and health checks use
 // the connection that was used last, and look at no other if that one is in order.
 func TestEndlessBytesOnIdleConnectionAreCutOff(t *testing.T) {
