--- a/api/response/responsetest/faults.go
+++ b/api/response/responsetest/faults.go
@@ -94,8 +94,8 @@
 // Write writes the response until the connection is closed or the response falls silent.
 func (e Endless) Write(conn net.Conn) {
 	_, err := io.WriteString(conn, e.First)
-	for err == nil && e.Repeated != "" {
-		_, err = io.WriteString(conn, e.Repeated)
+	for block := []byte(e.Repeated); err == nil && len(block) > 0; {
+		_, err = conn.Write(block)
 	}
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -38,6 +38,11 @@
 // together, so that their upstreams and the other nodes do not get all calls at the same moment.
 const maxReadyDelay = 500 * time.Millisecond
 
+// responseBodiesBytes bounds the bytes of large response bodies that a node reads at once, from the upstream and other nodes together. It
+// is the size of the largest body that is accepted. While a body grows and until the collector has run, it takes several times its
+// size, and a node of the target size may take 128 MB.
+const responseBodiesBytes = peer.MaxResponseBytes
+
 // Options configure a Node. Only Settings is required.
 type Options struct {
 	Settings *settings.Settings
@@ -194,9 +199,11 @@
 	recordConfig := delivery.Config{Retention: s.IdentityRetention, MaxDeadline: s.MaxDeadline}
 	n.callRecord = peer.NewCallRecord(recordConfig, n.started, strconv.FormatUint(n.random.Uint64(), 36))
 	n.queue = peer.NewAdmissionQueue(n.clock, admission.Config{Slots: 1})
-	n.peerPool = peer.NewPool(peer.PoolOptions{DialAddress: s.DialAddress, Clock: n.clock, SendHello: true})
+	bodies := peer.NewBodyBudget(responseBodiesBytes)
+	n.peerPool = peer.NewPool(peer.PoolOptions{DialAddress: s.DialAddress, Clock: n.clock, SendHello: true, BodyBudget: bodies})
 	n.upstreamPool = peer.NewPool(peer.PoolOptions{
 		DialAddress: s.DialAddress, Clock: n.clock, IdleTimeout: peer.UpstreamIdleTimeout, MaxConnections: n.maxUpstreamConnections,
+		BodyBudget: bodies,
 	})
 	n.controller = peer.NewController(peer.ControllerOptions{
 		Upstream: s.Upstream, UpstreamAddress: s.UpstreamAddress, Clock: n.clock,
