End the notice of a stopping node by the clock of its requests

A stopping node could pass on requests late in its grace period and break them off at the end (rule LOST): whether a request is still taken was decided by a flag that another goroutine sets after 2.8 s of sleep. On a VM that has used up its share of a processor that goroutine wakes late.

The time of arrival now decides, as it does for the end of the grace period.

Evidence: TestStoppingNodeRefusesByItsClock failed: requests 2.9 s and 5 s after the signal with a deadline beyond the grace period were taken. No run showed such a late wake-up with processes; the test sets the time.

--- a/pkg/sidecar/stop.go
+++ b/pkg/sidecar/stop.go
@@ -37,6 +37,8 @@
 
 // stopTimes holds the times of a graceful stop on the process's clock.
 type stopTimes struct {
+	// noticeEnd is when the node stops accepting requests, except nested calls that end by their own deadline.
+	noticeEnd time.Duration
 	// answersDue is when each request gets its answer, even if it is unfinished.
 	answersDue time.Duration
 	// end is when the last connection is closed.
@@ -47,7 +49,9 @@
 func newStopTimes(now, grace time.Duration) *stopTimes {
 	share := func(f float64) time.Duration { return time.Duration(f * float64(grace)) }
 	end := now + grace - min(closeReserve, share(maxCloseReserveShare))
-	return &stopTimes{answersDue: max(end-answerReserve, now+share(minWorkShare)), end: end}
+	return &stopTimes{
+		noticeEnd: now + min(stopNoticePeriod, grace/2), answersDue: max(end-answerReserve, now+share(minWorkShare)), end: end,
+	}
 }
 
 // stop ends the work of the servers. The node is not ready from now on but accepts requests for stopNoticePeriod. Then
@@ -60,7 +64,7 @@
 	n.stopTimes.Store(times)
 	n.stopping.Store(true)
 	n.o.Log.WithFields(n.stopFields()).Info("stopping: the node is no longer ready")
-	time.Sleep(min(stopNoticePeriod, n.o.Settings.StopGracePeriod/2))
+	time.Sleep(times.noticeEnd - started)
 	n.controller.leaving.Store(true)
 	// These would be refused when they got a slot. Now they have more time left for another upstream.
 	n.controller.queue.refuseWaiting()
@@ -81,13 +85,13 @@
 // returns false if the request must be refused because it might not end before answersDue. In stopNoticePeriod, callers
 // cannot know yet that the node stops, so a request with a later deadline is accepted and has to end earlier. After
 // that, only a nested call is accepted that ends by its own deadline, because the rules of the platform do not excuse
-// that a later request is broken off.
+// that a later request is broken off. The arrival decides, because the goroutine of stop may be scheduled late.
 func (n *Node) endBeforeStop(arrived, deadline time.Duration, nested bool) (time.Duration, bool) {
 	times := n.stopTimes.Load()
 	if times == nil {
 		return deadline, true
 	}
-	if n.controller.leaving.Load() {
+	if n.controller.leaving.Load() || arrived >= times.noticeEnd {
 		return deadline, nested && deadline <= times.answersDue
 	}
 	return min(deadline, times.answersDue), deadline <= times.answersDue || times.answersDue-arrived >= minStopTime
--- a/pkg/sidecar/stop_test.go
+++ b/pkg/sidecar/stop_test.go
@@ -277,3 +277,18 @@
 		})
 	}
 }
+
+// Guards against requests that a stopping node takes beyond stopNoticePeriod because its own goroutine, which ends the period, is
+// scheduled late on a busy VM.
+func TestStoppingNodeRefusesByItsClock(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestMesh(t, 1, nil)
+	n := m.nodes[0]
+	now := n.o.Clock.Now()
+	for after, accepted := range map[time.Duration]bool{stopNoticePeriod - 100*time.Millisecond: true, stopNoticePeriod + 100*time.Millisecond: false, 5 * time.Second: false} {
+		n.stopTimes.Store(newStopTimes(now-after, testGracePeriod))
+		_, got := n.endBeforeStop(now, now+9*time.Second, false)
+		g.Expect(got).To(Equal(accepted), "request %v after the signal", after)
+	}
+	n.stopTimes.Store(nil)
+}
