--- a/api/httpclient/client.go
+++ b/api/httpclient/client.go
@@ -56,7 +56,9 @@
 // New returns a client.
 func New(o Options) *SingleAttemptClient {
 	c := &SingleAttemptClient{
-		idle: map[string][]*pooledConn{}, now: time.Now, limits: response.Limits{MaxBodyBytes: o.MaxBodyBytes, Budget: response.Unlimited{}},
+		idle: map[string][]*pooledConn{}, now: time.Now,
+		// A body that was cut short is noticed when it is decoded, because it is JSON or has a digest.
+		limits: response.Limits{MaxBodyBytes: o.MaxBodyBytes, Budget: response.Unlimited{}, AllowCloseDelimited: true},
 	}
 	if o.Dialer != nil {
 		c.dialer = *o.Dialer
--- a/api/httpclient/faulty_test.go
+++ b/api/httpclient/faulty_test.go
@@ -57,6 +57,18 @@
 	}
 }
 
+// Guards against refusing a server that marks the end of a body by closing the connection, as before.
+func TestBodyMayEndWithConnection(t *testing.T) {
+	g := NewWithT(t)
+	server := responsetest.Serve(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n{}")
+		_ = conn.(*net.TCPConn).CloseWrite()
+	})
+	body, err := send(New(Options{MaxBodyBytes: 1 << 20}), server.Address, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("{}"))
+}
+
 // Guards against idle connections that stay open although no further request is sent.
 func TestIdleConnectionsExpireByThemselves(t *testing.T) {
 	t.Parallel()
