Don't use a connection on which bytes arrived while it was idle

A node could take a late second copy of a response of the store, of a holder of a limit or of another node's poll for the response to its next request, and from then on each response for the next one.

Cause: the client checked only bytes that it had read itself.

An idle connection is now looked at before it is used, without blocking; one that was closed or on which bytes arrived is closed.

Evidence: TestBytesOnIdleConnectionAreNoResponse got the late body as the second response before.

--- a/api/httpclient/client.go
+++ b/api/httpclient/client.go
@@ -4,9 +4,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -119,14 +121,14 @@
 	return response.Read(conn.reader, resp, req.Header.IsHead(), &c.limits)
 }
 
-// acquireConn returns an idle connection to addr that is young enough for reuse, or opens a new one.
+// acquireConn returns an idle connection to addr that is young enough for reuse and on which nothing has arrived, or opens a new one.
 func (c *SingleAttemptClient) acquireConn(ctx context.Context, addr string) (*pooledConn, error) {
 	for {
 		conn := c.takeIdleConn(addr)
 		if conn == nil {
 			break
 		}
-		if c.now().Sub(conn.idleSince) < maxIdleAge {
+		if c.now().Sub(conn.idleSince) < maxIdleAge && conn.isIdle() {
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -138,6 +140,26 @@
 	return &pooledConn{Conn: conn, reader: bufio.NewReaderSize(conn, maxHeadBytes)}, nil
 }
 
+// isIdle reports whether the other side has neither closed the connection nor sent anything on it. Such bytes, like a second copy of the
+// last response, would be taken for the response to the next request. It never blocks.
+func (c *pooledConn) isIdle() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	idle := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		idle = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+	})
+	return err == nil && idle
+}
+
 // takeIdleConn removes the connection to addr that was used last from the pool; it returns nil when there is none.
 func (c *SingleAttemptClient) takeIdleConn(addr string) *pooledConn {
 	c.mu.Lock()
--- a/api/httpclient/faulty_test.go
+++ b/api/httpclient/faulty_test.go
@@ -91,6 +91,7 @@
 		}
 	})
 	c := New(Options{MaxBodyBytes: 1 << 20})
+	t.Cleanup(c.CloseIdleConnections)
 	for range 2 {
 		body, err := send(c, server.Address, time.Second)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -99,3 +100,25 @@
 	_, err := send(c, server.Address, time.Second)
 	g.Expect(err).To(MatchError(response.ErrInvalidField))
 }
+
+// Guards against bytes that arrive on an idle connection, like a second copy of a response, and are taken for the next response.
+func TestBytesOnIdleConnectionAreNoResponse(t *testing.T) {
+	g := NewWithT(t)
+	sent := make(chan struct{}, 2)
+	server := responsetest.Serve(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+		sent <- struct{}{}
+	})
+	c := New(Options{MaxBodyBytes: 1 << 20})
+	t.Cleanup(c.CloseIdleConnections)
+	for range 2 {
+		body, err := send(c, server.Address, time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal("own"))
+		<-sent
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Expect(server.BytesBehind.Load()).To(BeZero())
+}
