--- a/api/response/head.go
+++ b/api/response/head.go
@@ -17,7 +17,7 @@
 var (
 	ErrMalformed     = errors.New("the server's bytes are not an HTTP response")
 	ErrInvalidStatus = fmt.Errorf("%w: there is no valid status code; make the server answer with three digits from 100 to 599", ErrMalformed)
-	ErrInvalidHead   = fmt.Errorf("%w: the status line or the end of the head is not valid; make the server answer in HTTP/1", ErrMalformed)
+	ErrInvalidHead   = fmt.Errorf("%w: the status line or the end of the section is not valid; make the server answer in HTTP/1, with CRLF at the end", ErrMalformed)
 	ErrInvalidField  = fmt.Errorf("%w: a field line is not valid; make the server send names that are tokens and values without control bytes", ErrMalformed)
 	ErrAmbiguousEnd  = fmt.Errorf("%w: it is not certain where the body ends; make the server send either a length or, in HTTP/1.1, chunks", ErrMalformed)
 	ErrHeadTooLarge  = fmt.Errorf("%w: the head or the trailer section is too large; make the server send fewer fields", ErrMalformed)
@@ -32,6 +32,9 @@
 // versionPrefix is how each HTTP/1 response starts. A digit follows.
 const versionPrefix = "HTTP/1."
 
+// sectionEnd ends a head, and a trailer section unless that has no fields.
+var sectionEnd = []byte("\r\n\r\n")
+
 // Classes of the bytes in a field line.
 const (
 	// tokenByte may be part of a token (RFC 9110, section 5.6.2).
@@ -108,8 +111,8 @@
 	if err != nil {
 		return err
 	}
-	// After other line ends, the parser takes what follows for a part of the head up to the next CRLFCRLF.
-	if !bytes.HasSuffix(head, []byte("\r\n\r\n")) {
+	// After other line ends, parsers disagree on whether the head has ended.
+	if !bytes.HasSuffix(head, sectionEnd) {
 		return ErrInvalidHead
 	}
 	if hasAmbiguousEnd(head) {
@@ -146,6 +149,9 @@
 	if err != nil {
 		return err
 	}
+	if string(section) != "\r\n" && !bytes.HasSuffix(section, sectionEnd) {
+		return ErrInvalidHead
+	}
 	_, err = r.Discard(len(section))
 	return err
 }
--- a/api/response/head_test.go
+++ b/api/response/head_test.go
@@ -141,7 +141,8 @@
 // Guards against a trailer section that is read beyond its end, or in which lines are accepted that a head must not have.
 func TestTrailerSectionIsDiscarded(t *testing.T) {
 	sections := map[string]error{
-		"\r\n": nil, "A: b\r\n\r\n": nil, "A: b\r\nC: d\n\r\n": nil, "": io.ErrUnexpectedEOF, "A: b\r\n": io.ErrUnexpectedEOF,
+		"\r\n": nil, "A: b\r\n\r\n": nil, "A: b\nC: d\r\n\r\n": nil, "\n": response.ErrInvalidHead, "A: b\r\n\n": response.ErrInvalidHead,
+		"A: b\n\r\n": response.ErrInvalidHead, "": io.ErrUnexpectedEOF, "A: b\r\n": io.ErrUnexpectedEOF,
 		"A B: c\r\n": response.ErrInvalidField, "A : b\r\n\r\n": response.ErrInvalidField, " A: b\r\n\r\n": response.ErrInvalidField,
 		"A: b\r\n c\r\n\r\n": response.ErrInvalidField, "A: b\x00\r\n\r\n": response.ErrInvalidField, "A\r\n\r\n": response.ErrInvalidField,
 		"A: " + strings.Repeat("x", bufferSize): response.ErrHeadTooLarge,
