--- a/api/httpclient/client.go
+++ b/api/httpclient/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -22,14 +23,16 @@
 	maxIdleAge = 10 * time.Second
 	// maxIdleConnsPerAddress bounds the idle connections to one address.
 	maxIdleConnsPerAddress = 4
-	// maxHeadBytes bounds the head of a response.
-	maxHeadBytes = 16 << 10
+	// defaultMaxHeadBytes bounds the head of a response. Each idle connection has a buffer of this size.
+	defaultMaxHeadBytes = 4 << 10
 )
 
 // Options configure a SingleAttemptClient.
 type Options struct {
 	// Dialer opens the connections; nil means one without options.
 	Dialer *net.Dialer
+	// MaxHeadBytes is the size in bytes of the largest head of a response; 0 means 4 KiB.
+	MaxHeadBytes int
 	// MaxBodyBytes is the size in bytes of the largest body of a response.
 	MaxBodyBytes int
 }
@@ -40,9 +43,11 @@
 // any failure. It is safe for concurrent use.
 type SingleAttemptClient struct {
 	dialer net.Dialer
-	limits response.Limits
-	mu     sync.Mutex
-	idle   map[string][]*pooledConn
+	// headBytes is the largest size of a head.
+	headBytes int
+	limits    response.Limits
+	mu        sync.Mutex
+	idle      map[string][]*pooledConn
 	// expiring is true while a timer is set that closes the expired connections.
 	expiring bool
 	now      func() time.Time
@@ -58,7 +63,7 @@
 // New returns a client.
 func New(o Options) *SingleAttemptClient {
 	c := &SingleAttemptClient{
-		idle: map[string][]*pooledConn{}, now: time.Now,
+		idle: map[string][]*pooledConn{}, now: time.Now, headBytes: cmp.Or(o.MaxHeadBytes, defaultMaxHeadBytes),
 		// A body that was cut short is noticed when it is decoded, because it is JSON or has a digest.
 		limits: response.Limits{MaxBodyBytes: o.MaxBodyBytes, Budget: response.Unlimited{}, AllowCloseDelimited: true},
 	}
@@ -137,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pooledConn{Conn: conn, reader: bufio.NewReaderSize(conn, maxHeadBytes)}, nil
+	return &pooledConn{Conn: conn, reader: bufio.NewReaderSize(conn, c.headBytes)}, nil
 }
 
 // isIdle reports whether the other side has neither closed the connection nor sent anything on it. Such bytes, like a second copy of the
--- a/api/response/responsetest/faults.go
+++ b/api/response/responsetest/faults.go
@@ -129,12 +129,12 @@
 // PeakMemory returns the most bytes of memory that the Go runtime took from the system, beyond those at the start, while f ran.
 func PeakMemory(f func()) int64 {
 	debug.FreeOSMemory()
-	before, peak := usedMemory(), int64(0)
+	before, peak := UsedMemory(), int64(0)
 	ended := make(chan struct{})
 	var sampling sync.WaitGroup
 	sampling.Go(func() {
 		for {
-			peak = max(peak, usedMemory()-before)
+			peak = max(peak, UsedMemory()-before)
 			select {
 			case <-ended:
 				return
@@ -148,7 +148,8 @@
 	return peak
 }
 
-func usedMemory() int64 {
+// UsedMemory returns the bytes of memory that the Go runtime has from the system.
+func UsedMemory() int64 {
 	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
 	metrics.Read(samples)
 	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
--- a/pkg/sidecar/endless_test.go
+++ b/pkg/sidecar/endless_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"runtime/debug"
-	"runtime/metrics"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -292,13 +291,6 @@
 	return request{method: "GET", path: path, id: id, deadline: deadline, header: map[string]string{headerNames.APIKey: ""}}
 }
 
-// usedMemory returns the memory in bytes that the Go runtime has from the system.
-func usedMemory() uint64 {
-	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
-	metrics.Read(samples)
-	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
-}
-
 // Guards against endless or slow responses that use up the memory of the VM, in their heads, bodies or trailer sections, and against
 // other requests that fail meanwhile.
 func TestEndlessResponsesLeaveMemoryForOthers(t *testing.T) {
@@ -355,19 +347,19 @@
 			}
 		})
 	}
-	peak, served := uint64(0), 0
+	peak, served := int64(0), 0
 	for ; time.Now().Before(end); served++ {
 		resp := m.send(0, withoutKey("/inner/1", fmt.Sprint("other", served), 2*deadline))
 		if resp.StatusCode() != fasthttp.StatusOK {
 			t.Errorf("request %d: status %d, %s", served, resp.StatusCode(), resp.Body())
 		}
-		peak = max(peak, usedMemory())
+		peak = max(peak, responsetest.UsedMemory())
 		time.Sleep(trickle)
 	}
 	waiting.Wait()
 	t.Logf("%d other requests served, %d MB of memory in use at the peak", served, peak>>20)
 	g.Expect(served).To(BeNumerically(">", 0))
-	g.Expect(peak).To(BeNumerically("<", uint64(smallestMemory)), "bytes of memory in use at the peak")
+	g.Expect(peak).To(BeNumerically("<", smallestMemory), "bytes of memory in use at the peak")
 }
 
 // Guards against a health check or a message between nodes that uses up the memory or waits beyond its time limit because of a response
