--- a/pkg/node/endless_test.go
+++ b/pkg/node/endless_test.go
@@ -14,7 +14,7 @@
 	"github.com/bamboodeal/bamboodeal/api/response/responsetest"
 )
 
-// maxNodeMemory is the memory in bytes that a node of the target size may take (letters/1.md).
+// maxNodeMemory is the memory in bytes that a node of the target size may take.
 const maxNodeMemory = 128 << 20
 
 // Guards against an upstream whose responses do not end and use up the memory of the VM together, although each is bounded, and against
