Refuse patches of other nodes that overflow or grow without a bound

An answer in place of another node's could end each node that read it: a patch whose index and count overflow makes the process panic, and one that copies a large value again and again uses up the memory.

Cause: the sum of the two numbers was compared, and the size of the result was not bounded. Both are checked now; the node reads everything again, as for a patch that does not fit.

Evidence: TestPatchWithoutBoundIsRefused ended with "slice bounds out of range" before. Nothing shows that this has happened to callers.

--- a/pkg/mesh/patch.go
+++ b/pkg/mesh/patch.go
@@ -6,6 +6,9 @@
 // only a few of these objects.
 const segmentEnd = "},"
 
+// maxPatchedBytes bounds the value that a patch produces: no message between nodes carries a larger one.
+const maxPatchedBytes = 8 << 20
+
 // PatchStep is one step of a patch: it copies Count segments of the old value, starting with the segment of index From,
 // and then appends Text. A general patch codec would need several megabytes for its tables, which is most of a node's
 // memory.
@@ -50,17 +53,25 @@
 	return patch
 }
 
-// applyPatch returns the next value; ok is false if the patch refers to segments that the old value does not have.
+// applyPatch returns the next value; ok is false if the patch refers to segments that the old value does not have, or produces more
+// than maxPatchedBytes.
 func applyPatch(old string, patch []PatchStep) (next string, ok bool) {
 	oldSegments := splitSegments(old)
 	var b strings.Builder
 	for _, step := range patch {
-		if step.From < 0 || step.Count < 0 || step.From+step.Count > len(oldSegments) {
+		// The sum of the two numbers may overflow.
+		if step.From < 0 || step.Count < 0 || step.From > len(oldSegments) || step.Count > len(oldSegments)-step.From {
 			return "", false
 		}
 		for _, s := range oldSegments[step.From : step.From+step.Count] {
+			if b.Len()+len(s) > maxPatchedBytes {
+				return "", false
+			}
 			b.WriteString(s)
 		}
+		if b.Len()+len(step.Text) > maxPatchedBytes {
+			return "", false
+		}
 		b.WriteString(step.Text)
 	}
 	return b.String(), true
--- a/pkg/mesh/patch_test.go
+++ b/pkg/mesh/patch_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/bamboodeal/bamboodeal/api/response/responsetest"
 )
 
 // Applying a patch produces exactly the next value, whatever the two values have in common.
@@ -28,6 +32,26 @@
 	g.Expect(ok).To(BeFalse())
 }
 
+// Guards against a patch that ends the process: one whose numbers overflow, or one that copies a large value again and again. What answers
+// at the address of a node may not be one.
+func TestPatchWithoutBoundIsRefused(t *testing.T) {
+	old := strings.Repeat("a", 1<<20) + "}," + "b"
+	for name, patch := range map[string][]PatchStep{
+		"index overflows": {{From: math.MaxInt, Count: 1}}, "count overflows": {{From: 1, Count: math.MaxInt}},
+		"index behind the end": {{From: 3}}, "negative": {{From: -1, Count: 1}},
+		"large copies": slices.Repeat([]PatchStep{{From: 0, Count: 1}}, 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			peak := responsetest.PeakMemory(func() {
+				_, ok := applyPatch(old, patch)
+				g.Expect(ok).To(BeFalse())
+			})
+			g.Expect(peak).To(BeNumerically("<", 4*maxPatchedBytes), "bytes of memory")
+		})
+	}
+}
+
 // BenchmarkMakePatch measures a patch for a configuration of about 120 KB in which one route, or every route, changed.
 func BenchmarkMakePatch(b *testing.B) {
 	const routes = 820
