Answer 502 for an unknown outcome whatever reason another node gives

Cause: the reason decided about the status, and an unknown one stands for 503. The outcome was not checked at all.

An unknown outcome now keeps only the reasons that leave it open; any other becomes "answer lost". An outcome that is none of the three makes the answer one that no node gives, as a header that cannot be parsed.

--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -168,8 +168,19 @@
 	if err != nil {
 		return attemptResult{}, err
 	}
+	result, reason := outcome(parts[0][0]), Reason(parts[1])
+	switch result {
+	case outcomeRan, outcomeNotRun:
+	case outcomeUnknown:
+		// Any other reason would tell the caller that the request did not run, or pass for a response.
+		if !reason.leavesOutcomeOpen() {
+			reason = ReasonAnswerLost
+		}
+	default:
+		return attemptResult{}, errInvalidHeader
+	}
 	return attemptResult{
-		outcome: outcome(parts[0][0]), reason: Reason(parts[1]), reachedUpstream: parts[2] == "1",
+		outcome: result, reason: reason, reachedUpstream: parts[2] == "1",
 		load: slots.Load{
 			Running: numbers[0], Waiting: numbers[1], Slots: numbers[2],
 			MeanServiceTime: time.Duration(numbers[3]) * time.Millisecond, Cold: cold,
--- a/pkg/sidecar/reason.go
+++ b/pkg/sidecar/reason.go
@@ -54,6 +54,11 @@
 	ReasonRetryBudgetSpent Reason = "retry_budget_spent"
 )
 
+// leavesOutcomeOpen reports whether the status for the reason promises neither that the request ran nor that it did not.
+func (r Reason) leavesOutcomeOpen() bool {
+	return r == ReasonAnswerLost || r == ReasonTimedOut || r == ReasonCallerGone
+}
+
 // remedies holds, for each reason that a caller may get, what the caller should do.
 var remedies = map[Reason]string{
 	ReasonNotReady:         "the node has no configuration yet; send the request again after Retry-After",
--- a/pkg/sidecar/status_test.go
+++ b/pkg/sidecar/status_test.go
@@ -206,6 +206,14 @@
 // faultyNode replaces a node by a program that answers each request of other nodes with the given first line and the headers and the
 // body of a success. It returns the number of requests that arrive on a connection behind such an answer.
 func (m *testMesh) faultyNode(index int, line string) (requestsBehind *atomic.Int64) {
+	result := attemptResult{outcome: outcomeRan, reachedUpstream: true, load: slots.Load{Slots: 4}}
+	resp := &fasthttp.Response{}
+	result.setHeader(resp)
+	return m.replaceNode(index, line, string(resp.Header.Peek(answerHeader)))
+}
+
+// replaceNode does what faultyNode does, with the given value of the header that states the result.
+func (m *testMesh) replaceNode(index int, line, answer string) (requestsBehind *atomic.Int64) {
 	m.t.Helper()
 	m.nodes[index].o.Settings.StopGracePeriod = 0
 	m.stops[index]()
@@ -217,15 +225,31 @@
 	m.t.Cleanup(func() { _ = l.Close() })
 	requestsBehind = &atomic.Int64{}
 	go answerAll(l, requestsBehind, func(req *fasthttp.Request) string {
-		result := attemptResult{outcome: outcomeRan, reachedUpstream: true, load: slots.Load{Slots: 4}}
-		resp := &fasthttp.Response{}
-		result.setHeader(resp)
 		return fmt.Sprintf("%s\r\n%s: %s\r\n%s: %s\r\nContent-Length: 6\r\n\r\nleaked", line,
-			headerNames.RequestID, req.Header.Peek(headerNames.RequestID), answerHeader, resp.Header.Peek(answerHeader))
+			headerNames.RequestID, req.Header.Peek(headerNames.RequestID), answerHeader, answer)
 	})
 	return requestsBehind
 }
 
+// Guards against "not run", or a success, for a request of which another node says that it may have run: its answer has a reason that
+// this release does not know or that contradicts the outcome, or an unknown outcome.
+func TestUnknownOutcomeOfNodeIsNoRefusal(t *testing.T) {
+	const rest = ";1;0;0;4;0;0;0;0;0"
+	for _, start := range []string{
+		"u;overloaded", "u;leaving", "u;team_rate_exceeded", "u;no_route", "u;", "u;of_a_later_release", "x;overloaded", "x;", "u;answer_lost",
+	} {
+		t.Run(start, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newTestMesh(t, 2, func(r *mesh.Route) { r.Public = true })
+			m.replaceNode(1, "HTTP/1.1 200 OK", start+rest)
+			m.useOnlyUpstream(1)
+			resp := m.send(0, request{method: "GET", path: "/write/1", id: "w"})
+			g.Expect(resp.StatusCode()).To(Equal(fasthttp.StatusBadGateway))
+			g.Expect(resp.String()).NotTo(ContainSubstring("leaked"))
+		})
+	}
+}
+
 // Guards against a response between nodes that has no valid head and reaches the caller, and against a read that fails
 // although another upstream can answer it.
 func TestNodeWithMalformedHeadLeavesOutcomeUnknown(t *testing.T) {
