Give the tests of pkg/sidecar loopback networks of their own

With 200 meshes in a run they were also about to reach addresses that do not exist.

They now begin at 127.240, and the ports are asked for on the network itself.

--- a/pkg/sidecar/harness_test.go
+++ b/pkg/sidecar/harness_test.go
@@ -135,9 +135,15 @@
 }
 
 // nextNetwork counts the loopback networks in use. Each test gets its own, so that its ports are not in use by other
-// tests.
+// tests. They begin at firstNetworkOctet, because the networks below are those of other packages, whose tests run at the
+// same time.
 var nextNetwork atomic.Int64
 
+const (
+	firstNetworkOctet = 240
+	networksPerOctet  = 250
+)
+
 const (
 	testService = "orders"
 	testKey     = "key-of-red"
@@ -171,12 +177,13 @@
 func newTestMesh(t *testing.T, count int, change func(*mesh.Route)) *testMesh {
 	t.Helper()
 	m := &testMesh{t: t, logs: &syncBuffer{}}
-	base := nextNetwork.Add(1)
+	number := int(nextNetwork.Add(1))
+	network := fmt.Sprintf("127.%d.%d", firstNetworkOctet+number/networksPerOctet, number%networksPerOctet)
 	view := &mesh.View{Config: testConfig(t, change), UpstreamsByService: map[string][]*mesh.Upstream{}, EvacuatedDataCentres: map[string]bool{}}
-	ports := freePorts(t, "127.0.0.1", 4)
+	ports := freePorts(t, network+".1", 4)
 	copy(m.ports[:], ports)
 	for i := range count {
-		ip := fmt.Sprintf("127.%d.0.%d", base, i+1)
+		ip := fmt.Sprintf("%s.%d", network, i+1)
 		u := newUpstreamStub(t, fmt.Sprintf("u%d", i), fmt.Sprintf("%s:%d", ip, ports[3]))
 		m.upstreams = append(m.upstreams, u)
 		view.VMs = append(view.VMs, ip)
