Test the reading of responses part by part

The nodes also get endless status lines, and bamboodeald all endless responses instead of five kinds.

--- a/api/response/responsetest/faults.go
+++ b/api/response/responsetest/faults.go
@@ -106,6 +106,7 @@
 	const ok, chunked = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	return map[string]Endless{
 		"no response":      {"", block},
+		"status line":      {"HTTP/1.1 200 ", block},
 		"line":             {ok + "A: ", block},
 		"fields":           {ok, strings.Repeat("A: b\r\n", 1000)},
 		"interim":          {"", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1000)},
--- a/pkg/node/endless_test.go
+++ b/pkg/node/endless_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -20,10 +22,9 @@
 // Guards against an upstream whose responses do not end and use up the memory of the VM together, although each is bounded, and against
 // calls of others that fail meanwhile.
 func TestEndlessResponsesLeaveMemoryForOthers(t *testing.T) {
-	const endlessCalls, otherCalls = 15, 200
+	const endlessCalls, otherCalls = 32, 200
 	g := NewWithT(t)
-	responses := responsetest.EndlessResponses()
-	faults := []responsetest.Endless{responses["chunks"], responses["announced chunk"], responses["small chunks"], responses["line"], responses["trailer line"]}
+	faults := slices.Collect(maps.Values(responsetest.EndlessResponses()))
 	n, stop, ended := start(g, func(ctx *fasthttp.RequestCtx) {
 		number := len(ctx.Path()) - len("/shop/endless/")
 		if number < 0 {
--- a/pkg/sidecar/endless_test.go
+++ b/pkg/sidecar/endless_test.go
@@ -143,6 +143,9 @@
 var (
 	megabyte         = strings.Repeat("x", 1<<20)
 	endlessResponses = map[string]endlessResponse{
+		"status-line":              {first: "HTTP/1.1 200 ", repeated: megabyte},
+		"slow-status-line":         {first: "HTTP/1.1 200 ", repeated: "x", pause: trickle},
+		"no-response":              {repeated: megabyte},
 		"line":                     {first: "HTTP/1.1 200 OK\r\nA: ", repeated: megabyte},
 		"slow-line":                {first: "HTTP/1.1 200 OK\r\nA: ", repeated: "x", pause: trickle},
 		"headers":                  {first: "HTTP/1.1 200 OK\r\n", repeated: strings.Repeat("A: b\r\n", 1000)},
@@ -304,10 +307,10 @@
 		{first: "%IDTransfer-Encoding: chunked\r\n\r\n1f00000\r\n", repeated: block, pause: trickle},
 	}
 	names := []string{
-		"line", "slow-line", "headers", "slow-headers", "interim", "slow-interim", "chunk-extension", "slow-chunk-extension", "chunk-extensions",
+		"status-line", "slow-status-line", "no-response", "line", "slow-line", "headers", "slow-headers", "interim", "slow-interim", "chunk-extension", "slow-chunk-extension", "chunk-extensions",
 		"trailer-line", "slow-trailer-line", "trailers", "slow-trailers", "huge-length", "huge-chunk",
 	}
-	heads := append(make([]endlessResponse, 0, 1+len(names)), endlessResponse{repeated: megabyte})
+	heads := make([]endlessResponse, 0, len(names))
 	for _, name := range names {
 		heads = append(heads, endlessResponses[name])
 	}
