Restore a lost reason and use one name for one thing

The client of holders of limits had said why a lease request is sent only once; the move to the shared client dropped that. "Unknown" is the only word for an outcome that is not known.

No behaviour changes.

--- a/api/response/json.go
+++ b/api/response/json.go
@@ -5,8 +5,7 @@
 	"errors"
 )
 
-// maxJSONElements bounds the elements of a body in JSON. An element of two bytes may take a hundred bytes of memory once it is decoded.
-// The largest messages, with all entries of the largest mesh, have some ten thousand.
+// maxJSONElements bounds the elements of a body in JSON, because an element takes memory even if its text is "{}".
 const maxJSONElements = 1 << 17
 
 // ErrTooManyElements is the error of a body in JSON that would take too much memory.
--- a/pkg/ratelimit/transport.go
+++ b/pkg/ratelimit/transport.go
@@ -19,7 +19,8 @@
 // request up, so that a connection without an answer is closed before the borrower asks again.
 const leaseTimeout = 250 * time.Millisecond
 
-// HTTPTransport is a Transport that sends JSON over HTTP. StreamTransport uses it for handovers and for holders that have
+// HTTPTransport is a Transport that sends JSON over HTTP. Each request is sent once: repeating it would lease twice, and the borrower
+// decides when to ask again. StreamTransport uses it for handovers and for holders that have
 // no lease streams.
 type HTTPTransport struct {
 	client *httpclient.SingleAttemptClient
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -173,7 +173,7 @@
 	case outcomeRan, outcomeNotRun:
 	case outcomeUnknown:
 		// Any other reason would tell the caller that the request did not run, or pass for a response.
-		if !reason.leavesOutcomeOpen() {
+		if !reason.leavesOutcomeUnknown() {
 			reason = ReasonAnswerLost
 		}
 	default:
--- a/pkg/sidecar/reason.go
+++ b/pkg/sidecar/reason.go
@@ -54,8 +54,8 @@
 	ReasonRetryBudgetSpent Reason = "retry_budget_spent"
 )
 
-// leavesOutcomeOpen reports whether the status for the reason promises neither that the request ran nor that it did not.
-func (r Reason) leavesOutcomeOpen() bool {
+// leavesOutcomeUnknown reports whether the status for the reason promises neither that the request ran nor that it did not.
+func (r Reason) leavesOutcomeUnknown() bool {
 	return r == ReasonAnswerLost || r == ReasonTimedOut || r == ReasonCallerGone
 }
 
--- a/pkg/sidecar/stop_late_test.go
+++ b/pkg/sidecar/stop_late_test.go
@@ -25,15 +25,15 @@
 	resp *fasthttp.Response
 }
 
-// ledgerOfRuns counts by ID how often requests ran, and which of them ended at an upstream.
-type ledgerOfRuns struct {
+// runLedger counts by ID how often requests ran, and which of them ended at an upstream.
+type runLedger struct {
 	mu    sync.Mutex
 	begun map[string]int
 	ended map[string]bool
 }
 
 // serve works on a request for as long as its ID says.
-func (l *ledgerOfRuns) serve(ctx *fasthttp.RequestCtx) {
+func (l *runLedger) serve(ctx *fasthttp.RequestCtx) {
 	id := string(ctx.Request.Header.Peek(headerNames.RequestID))
 	var name string
 	var workMS int
@@ -89,7 +89,7 @@
 	t.Parallel()
 	g := NewWithT(t)
 	m := newTestMesh(t, 2, func(r *mesh.Route) { r.Timeout, r.Objective = 20*time.Second, 10*time.Second })
-	runs := &ledgerOfRuns{begun: map[string]int{}, ended: map[string]bool{}}
+	runs := &runLedger{begun: map[string]int{}, ended: map[string]bool{}}
 	view := *m.view.Load()
 	list := make([]*mesh.Upstream, 0, len(m.upstreams))
 	for i, u := range view.UpstreamsByService[testService] {
