--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -100,6 +100,8 @@
 	avoidStoreUntil time.Duration
 	readStoreNext   bool
 	lastMembers     membersOfView
+	// viewSource is the source of the last delta that was applied.
+	viewSource string
 
 	mu   sync.Mutex
 	feed *Feed
@@ -418,6 +420,7 @@
 	if newEra && !first {
 		s.logEraChange(result, lastEra, lastRevision, values, entries)
 	}
+	s.viewSource = result.source
 	s.applyEntries(now, entries, d.Era, newEra)
 }
 
--- a/pkg/mesh/maintainerlog.go
+++ b/pkg/mesh/maintainerlog.go
@@ -37,7 +37,7 @@
 
 func (s *Syncer) logViewChange(last, next *View) {
 	s.mu.Lock()
-	fields := logrus.Fields{"era": s.feed.Era(), "revision": s.feed.Revision(), "vms": len(next.VMs)}
+	fields := logrus.Fields{"era": s.feed.Era(), "revision": s.feed.Revision(), "source": s.viewSource, "vms": len(next.VMs)}
 	s.mu.Unlock()
 	if next.Config != nil {
 		fields["version"] = next.Config.Version
