Check what a patch from another node produces

Cause: a node caches the last patches by the digests of the values before and after, but has digests of values above 8 KiB only. All smaller values counted as digest 0, so a follower that had missed two versions, the first of them the first small one, got the patch to that one with the revision of the second. It checked the base of a patch and not the result.

Change: the cache's key has the digest of the value whatever its size, and a patch states the digest of its result. A patch for another value, without a digest or with another result is refused, the sender is logged, and everything is read. A refused answer no longer counts as contact with the store. The verdict is a decision of its own, decision/consistency.

Why it works: a patch can only be used if it produces the value that its sender has, so no cache, order or release can put another one in its place.

--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -6,6 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/bamboodeal/bamboodeal/decision/consistency"
 )
 
 const (
@@ -20,6 +22,10 @@
 // ErrPatchBase means that a patch refers to a different value than the feed has, so the caller has to read everything.
 var ErrPatchBase = eris.New("the patch is for a different value than the one that this node has; read everything again")
 
+// ErrPatchResult means that a patch produces another value than the sender has, or that the sender did not say which value
+// it has, so the caller has to read everything.
+var ErrPatchResult = eris.New("the patch does not produce the sender's value, or does not say which one that is; read everything again")
+
 // maxRemovals bounds the number of removals that a feed keeps. A follower that is further behind gets all entries.
 const maxRemovals = 1024
 
@@ -31,9 +37,11 @@
 	Value    string `json:"v,omitempty"`
 	Revision uint64 `json:"r"`
 	Removed  bool   `json:"x,omitempty"`
-	// Patch is sent in place of Value. It applies to the value with the digest Base.
-	Patch []PatchStep `json:"p,omitempty"`
-	Base  uint64      `json:"b,omitempty"`
+	// Patch is sent in place of Value. It applies to the value with the digest Base and produces the one with the digest
+	// Result, which nodes of earlier releases don't state.
+	Patch  []PatchStep `json:"p,omitempty"`
+	Base   uint64      `json:"b,omitempty"`
+	Result uint64      `json:"c,omitempty"`
 	// Unchanged is set, without a value, if the follower has the value: the one with the digest Base or, in a full delta
 	// without Base, the value of this revision.
 	Unchanged bool `json:"u,omitempty"`
@@ -127,7 +135,8 @@
 
 // Apply applies a delta and returns the entries that it changed. If the delta is full, these include removals of the
 // entries that it does not list. A full delta of a later era replaces the contents; entries whose values stay the same
-// are not returned. If Apply returns an error (see CheckEra and ErrPatchBase), the feed is unchanged.
+// are not returned. If Apply returns an error (see CheckEra, ErrPatchBase and ErrPatchResult), the feed is
+// unchanged.
 func (f *Feed) Apply(d Delta) ([]Entry, error) {
 	if err := f.CheckEra(d); err != nil {
 		return nil, err
@@ -235,17 +244,23 @@
 	if !e.Unchanged && len(e.Patch) == 0 {
 		return nil
 	}
-	if digest, large := f.largeDigests[e.Key]; !large || digest != e.Base {
-		return ErrPatchBase
-	}
-	value, ok := f.entries[e.Key].Value, true
-	if !e.Unchanged {
-		value, ok = applyPatch(value, e.Patch)
-	}
-	if !ok {
-		return ErrPatchBase
-	}
-	e.Value, e.Patch, e.Base, e.Unchanged = value, nil, 0, false
+	difference := consistency.Difference{Base: e.Base, Known: f.largeDigests[e.Key], Applicable: true, Stated: e.Result}
+	value := f.entries[e.Key].Value
+	if e.Unchanged {
+		// The value of the base is the result.
+		difference.Stated, difference.Built = e.Base, difference.Known
+	} else if difference.Base == difference.Known {
+		value, difference.Applicable = applyPatch(value, e.Patch)
+		difference.Built = xxhash.Sum64String(value)
+	}
+	switch verdict := difference.Check(); verdict {
+	case consistency.Valid:
+	case consistency.WrongBase:
+		return eris.Wrapf(ErrPatchBase, "entry %q of revision %d", e.Key, e.Revision)
+	default:
+		return eris.Wrapf(ErrPatchResult, "entry %q of revision %d: %s", e.Key, e.Revision, verdict)
+	}
+	e.Value, e.Patch, e.Base, e.Result, e.Unchanged = value, nil, 0, 0, false
 	return nil
 }
 
@@ -263,12 +278,20 @@
 			continue
 		}
 		if patch := makePatch(old.value, e.Value); patchSize(patch) < len(e.Value)/2 {
-			return Entry{Key: e.Key, Revision: e.Revision, Patch: patch, Base: base}
+			return Entry{Key: e.Key, Revision: e.Revision, Patch: patch, Base: base, Result: f.valueDigest(e)}
 		}
 	}
 	return e
 }
 
+// valueDigest returns the digest of the value of an entry of the feed. Only those of large values are kept.
+func (f *Feed) valueDigest(e Entry) uint64 {
+	if digest, large := f.largeDigests[e.Key]; large {
+		return digest
+	}
+	return xxhash.Sum64String(e.Value)
+}
+
 // recordDigest records the digest of an entry that was put, if it is large.
 func (f *Feed) recordDigest(e Entry) {
 	if len(e.Value) > patchThreshold {
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -338,6 +338,10 @@
 	case err == nil:
 	case errors.Is(err, ErrEraChanged):
 		s.noticeRestore(now, result.source)
+	case errors.Is(err, ErrPatchBase), errors.Is(err, ErrPatchResult):
+		s.options.Log.WithError(err).WithField("source", result.source).Warn("refused a patch; reading all entries again")
+		s.readEverything = true
+		err = nil
 	default:
 		s.sources.RecordFailure(now, result.source)
 		s.options.Log.WithError(err).WithField("source", result.source).Debug("reading from a source failed; trying again, possibly from another source")
@@ -363,7 +367,9 @@
 	if err != nil {
 		return err
 	}
-	s.applyDelta(now, result)
+	if err := s.applyDelta(now, result); err != nil {
+		return err
+	}
 	return result.err
 }
 
@@ -383,14 +389,19 @@
 	}
 }
 
-// applyDelta applies a delta that Feed.CheckEra accepts to the feed and the registry.
-func (s *Syncer) applyDelta(now time.Duration, result readResult) {
-	s.readEverything = false
+// applyDelta applies a delta that Feed.CheckEra accepts to the feed and the registry. If it returns an error (see Feed.Apply),
+// nothing has changed, and the delta does not count as contact with the store: its changes are still missing here.
+func (s *Syncer) applyDelta(now time.Duration, result readResult) error {
 	d := result.delta
 	s.mu.Lock()
 	lastEra, lastRevision, first := s.feed.Era(), s.feed.Revision(), s.feed.isEmpty()
 	values := len(s.feed.entries)
 	entries, err := s.feed.Apply(d)
+	if err != nil {
+		s.mu.Unlock()
+		return err
+	}
+	s.readEverything = false
 	newEra := s.feed.Era() != lastEra
 	if newEra {
 		s.eraBeganAt = now - d.EraAge
@@ -413,15 +424,12 @@
 		s.changed = make(chan struct{})
 	}
 	s.mu.Unlock()
-	if err != nil {
-		s.options.Log.WithError(err).WithField("source", result.source).Warn("a patch does not fit; reading all entries again")
-		s.readEverything = true
-	}
 	if newEra && !first {
 		s.logEraChange(result, lastEra, lastRevision, values, entries)
 	}
 	s.viewSource = result.source
 	s.applyEntries(now, entries, d.Era, newEra)
+	return nil
 }
 
 // applyEntries applies changed entries to the registry. newEra is true if they come from the first full read of an era,
--- a/pkg/mesh/serve.go
+++ b/pkg/mesh/serve.go
@@ -46,7 +46,7 @@
 		if !has || e.Removed || e.Unchanged {
 			continue
 		}
-		key := patchKey{e.Key, base, s.feed.largeDigests[e.Key]}
+		key := patchKey{e.Key, base, s.feed.valueDigest(e)}
 		patched, known := s.patchCache[key]
 		if !known {
 			patched = s.feed.EncodePatch(e, base)
