Compare contents between nodes and let the store decide

What callers can see: a node goes on to use a removed upstream, or keeps a cancelled evacuation, until the entry changes again.

Cause: nothing told a node that its entries are not those of the store. Two ways to miss a removal were known (a gap in a reader's history, and a full answer of a node that is behind), and a wrong value was handed on.

Change: a follower states the digest of its entries with each read, a reader with each answer that has entries. What would differ at the same revision is not used; both sides read everything from the store, at most every 5 s, and what is read whole replaces what they have from the same revision. Entries of an answer that is behind are no longer added in a store without era.

Why it works: two nodes that read the same revision can't stay different without noticing it at their next contact, without a further change.

--- a/decision/consistency/consistency.go
+++ b/decision/consistency/consistency.go
@@ -1,8 +1,11 @@
-// Package consistency decides whether a node may use what it built from another node's message. Nodes learn the contents of the platform's store from each other, mostly
+// Package consistency decides whether a node may use what it built from another node's message, and what it does if its
+// contents and those of another node differ. Nodes learn the contents of the platform's store from each other, mostly
 // as differences to what they have. A difference for another value, or a value that is not the present one, can produce
 // something that the store never held; without a check the node would keep it until the next change.
 package consistency
 
+import "time"
+
 // Verdict says whether a value that was built from a difference may be used.
 type Verdict int
 
@@ -45,3 +48,43 @@
 	}
 	return Valid
 }
+
+// Contents identifies all entries that a node has. Digest is 0 if it is unknown.
+type Contents struct {
+	Era, Revision, Digest uint64
+}
+
+// DifferFrom reports whether two nodes have different entries at the same revision of the store, so that at least one of
+// them is wrong. Contents of different revisions can't be compared.
+func (c Contents) DifferFrom(other Contents) bool {
+	return c.Era == other.Era && c.Revision == other.Revision && c.Digest != other.Digest && c.Digest != 0 && other.Digest != 0
+}
+
+// minReadInterval is the shortest time between two reads of all entries because of differing contents. It bounds the
+// calls to the store while nodes go on to differ: with 470 nodes to less than 100 calls/s of 2,000.
+const minReadInterval = 5 * time.Second
+
+// Arbiter decides what a node does if another node has different contents. Only the store knows which of the two is
+// wrong, so a node reads everything from there unless it has just done so. The zero value is that of a node without
+// contents. An Arbiter is not safe for concurrent use.
+type Arbiter struct {
+	// disputed is true until everything has been read because of differing contents.
+	disputed bool
+	// trustUntil is the time until which the contents count as those of the store.
+	trustUntil time.Duration
+}
+
+// RecordWhole records that all entries were read, from the store or, while it is out of reach, from another node.
+func (a *Arbiter) RecordWhole(now time.Duration, fromStore bool) {
+	if fromStore || a.disputed {
+		a.trustUntil = now + minReadInterval
+	}
+	a.disputed = false
+}
+
+// MustReadStore reports whether the node has to read all entries from the store, because another node has different ones.
+// If it returns false, the node has just done so.
+func (a *Arbiter) MustReadStore(now time.Duration) bool {
+	a.disputed = a.disputed || now >= a.trustUntil
+	return a.disputed
+}
--- a/decision/consistency/consistency_test.go
+++ b/decision/consistency/consistency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -29,3 +30,32 @@
 		})
 	}
 }
+
+// Guards against a node that takes another one's progress for a difference, and against one that misses a difference.
+func TestContentsAreComparedAtTheSameRevision(t *testing.T) {
+	g := NewWithT(t)
+	own := Contents{Era: 1, Revision: 7, Digest: 5}
+	g.Expect(own.DifferFrom(Contents{Era: 1, Revision: 7, Digest: 6})).To(BeTrue())
+	for _, other := range []Contents{
+		own, {Era: 2, Revision: 7, Digest: 6}, {Era: 1, Revision: 8, Digest: 6}, {Era: 1, Revision: 6, Digest: 6}, {Era: 1, Revision: 7},
+	} {
+		g.Expect(own.DifferFrom(other)).To(BeFalse())
+		g.Expect(other.DifferFrom(own)).To(BeFalse())
+	}
+}
+
+// Guards against a node that trusts what another node gave it, and against a read of everything with each message of a node
+// that stays wrong, also while the store is out of reach.
+func TestStoreDecidesWhichContentsAreRight(t *testing.T) {
+	g := NewWithT(t)
+	var a Arbiter
+	a.RecordWhole(0, false)
+	g.Expect(a.MustReadStore(time.Second)).To(BeTrue())
+	g.Expect(a.MustReadStore(2*time.Second)).To(BeTrue(), "nothing has been read yet")
+	a.RecordWhole(3*time.Second, true)
+	g.Expect(a.MustReadStore(4*time.Second)).To(BeFalse(), "the store has just answered")
+	g.Expect(a.MustReadStore(3*time.Second + minReadInterval)).To(BeTrue())
+	a.RecordWhole(time.Minute, false)
+	g.Expect(a.MustReadStore(time.Minute+time.Second)).To(BeFalse(), "another node has just answered in place of the store")
+	g.Expect(a.MustReadStore(time.Minute + minReadInterval)).To(BeTrue())
+}
--- a/pkg/mesh/consistency_test.go
+++ b/pkg/mesh/consistency_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -46,7 +48,7 @@
 	} else {
 		d, _ = reader.changesSince(position)
 	}
-	d.Entries = slices.Clone(d.Entries)
+	d.Entries, d.Whole = slices.Clone(d.Entries), position.Revision == 0
 	return s.handleResult(readResult{source: source, delta: d})
 }
 
@@ -103,7 +105,7 @@
 		}},
 		"without a digest, as an earlier release sends it": {[]Entry{first}, func(g *WithT, s *Syncer) Delta {
 			d := patch(g, reader(g, first, second), s)
-			d.Entries[0].Result = 0
+			d.ContentsDigest, d.Entries[0].Result = 0, 0
 			return d
 		}},
 		"with another digest": {[]Entry{first}, func(g *WithT, s *Syncer) Delta {
@@ -145,9 +147,171 @@
 			g.Expect(lines.String()).To(ContainSubstring("the sender"))
 			g.Expect(s.position("the sender").Revision).To(BeZero())
 			// What is read whole replaces the value, whoever sent it.
-			g.Expect(s.handleResult(readResult{source: "", delta: Delta{Entries: []Entry{third}, Revision: 3, Full: true}})).To(Succeed())
+			g.Expect(s.handleResult(readResult{source: "", delta: Delta{Entries: []Entry{third}, Revision: 3, Full: true, Whole: true}})).To(Succeed())
 			g.Expect(s.feed.entries["config"]).To(Equal(third))
 			g.Expect(s.position("").Revision).To(Equal(uint64(3)))
 		})
 	}
 }
+
+// Guards against a node that stays with entries that the store does not have, and against a reader that hands them on: a
+// value, an entry that was removed, one that is missing. They must find out at the next contact without a further change.
+func TestDifferingContentsAreReadAgainFromStore(t *testing.T) {
+	for name, spoil := range map[string]func(f *Feed){
+		"superseded value": func(f *Feed) { f.setEntry(newEntry("upstream/a", "orders south 10.0.0.3:9000", 1)) },
+		"removed entry":    func(f *Feed) { f.setEntry(newEntry("upstream/gone", "orders south 10.0.0.4:9000", 2)) },
+		"missing entry": func(f *Feed) {
+			f.deleteEntry("upstream/a")
+			f.removals = append(f.removals, Entry{Key: "upstream/a", Revision: 3, Removed: true})
+		},
+	} {
+		for _, spoilReader := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " of reader: ", spoilReader), func(t *testing.T) {
+				g := NewWithT(t)
+				store := &storeStub{entries: map[string]Entry{}}
+				store.put("upstream/a", "orders south 10.0.0.2:9000")
+				store.put("upstream/gone", "orders south 10.0.0.4:9000")
+				store.put("upstream/gone", "")
+				now := testClock(time.Second)
+				reader, follower := newContentsSyncer(&now), newContentsSyncer(&now)
+				g.Expect(exchange(reader, nil, store, "")).To(Succeed())
+				g.Expect(exchange(follower, reader, store, "reader")).To(Succeed())
+				wrong := follower
+				if spoilReader {
+					wrong = reader
+				}
+				spoil(wrong.feed)
+				now += testClock(time.Minute)
+				var lines bytes.Buffer
+				follower.options.Log.SetOutput(&lines)
+				g.Expect(exchange(follower, reader, store, "the reader")).To(MatchError(ErrContentsDiffer))
+				g.Expect(lines.String()).To(ContainSubstring("the reader"))
+				g.Expect(follower.readStoreNext).To(BeTrue())
+				g.Expect(exchange(follower, nil, store, "")).To(Succeed())
+				if spoilReader {
+					g.Expect(reader.disputed.Load()).To(BeTrue())
+					reader.settleDispute(now.Now(), "a follower")
+					g.Expect(exchange(reader, nil, store, "")).To(Succeed())
+				}
+				for _, s := range []*Syncer{reader, follower} {
+					g.Expect(maps.Collect(maps.All(s.feed.entries))).To(Equal(store.entries))
+					g.Expect(s.registry.View().VMs).To(Equal([]string{"10.0.0.2"}))
+				}
+				g.Expect(exchange(follower, reader, store, "the reader")).To(Succeed())
+			})
+		}
+	}
+}
+
+// Guards against any other way in which a node builds a value that the store does not hold: small and large values that grow
+// and shrink, several missed versions, restarts of both sides, a lost history, repeated and late answers, and senders of the
+// release whose patches have no digest and may produce an earlier value. Nothing is written after the faults.
+func TestNodesEndWithContentsOfStore(t *testing.T) {
+	const seeds, nodes, steps, contacts = 300, 5, 300, 40
+	for seed := range uint64(seeds) {
+		r := rand.New(rand.NewPCG(seed, 41))
+		store := &storeStub{entries: map[string]Entry{}}
+		syncers := make([]*Syncer, nodes)
+		var now testClock
+		earlierPatches := map[string]Entry{}
+		late := make([][]readResult, nodes)
+		version, historyFrom := 0, uint64(0)
+		// The last node is of the earlier release: it states no digests and sends the first patch that it made for a value.
+		read := func(i int, reader int, faults bool) {
+			s, source := syncers[i], ""
+			if reader != 0 {
+				source = fmt.Sprint("node ", reader)
+			}
+			if s.disputed.Swap(false) {
+				s.settleDispute(now.Now(), "a follower")
+			}
+			if s.readStoreNext {
+				s.readStoreNext, source, reader = false, "", 0
+			}
+			position := s.position(source)
+			d := store.changesSince(position.Revision)
+			if source != "" {
+				d, _ = syncers[reader].changesSince(position)
+				d.Entries = slices.Clone(d.Entries)
+			}
+			if reader == nodes-1 {
+				d.ContentsDigest = 0
+				for j, e := range d.Entries {
+					if len(e.Patch) > 0 {
+						key := fmt.Sprint(e.Key, e.Base)
+						if earlier, ok := earlierPatches[key]; ok {
+							earlier.Revision = e.Revision
+							e = earlier
+						}
+						e.Result, earlierPatches[key] = 0, e
+						d.Entries[j] = e
+					}
+				}
+			}
+			d.Whole = position.Revision == 0
+			result := readResult{source: source, delta: d}
+			if source == "" && !d.Whole && position.Revision < historyFrom {
+				result = readResult{err: ErrHistoryLost}
+			}
+			if faults && r.IntN(4) == 0 {
+				late[i] = append(late[i], result)
+				return
+			}
+			_ = s.handleResult(result)
+		}
+		for i := range syncers {
+			syncers[i] = newContentsSyncer(&now)
+		}
+		for range steps {
+			now += testClock(simStep)
+			switch r.IntN(8) {
+			case 0, 1:
+				version++
+				store.put("config", configOf(version, 40+r.IntN(120)))
+			case 2:
+				store.put(fmt.Sprint("other/", r.IntN(4)), configOf(r.IntN(100), r.IntN(200)))
+			case 3:
+				if key := fmt.Sprint("other/", r.IntN(4)); store.entries[key].Value != "" {
+					store.put(key, "")
+				}
+			case 4:
+				if i := r.IntN(nodes); r.IntN(4) == 0 {
+					syncers[i], late[i] = newContentsSyncer(&now), nil
+				}
+			case 5:
+				historyFrom = store.revision
+			}
+			i := r.IntN(nodes)
+			if list := late[i]; len(list) > 0 && r.IntN(3) == 0 {
+				answer := list[r.IntN(len(list))]
+				answer.delta.Entries = slices.Clone(answer.delta.Entries)
+				_ = syncers[i].handleResult(answer)
+			}
+			if reader := r.IntN(nodes); reader != i || i == 0 {
+				read(i, reader, true)
+			}
+		}
+		for range contacts {
+			now += testClock(time.Second)
+			for i := range syncers {
+				if reader := r.IntN(nodes - 1); reader != i || i == 0 {
+					read(i, reader, false)
+				}
+			}
+		}
+		for i, s := range syncers {
+			if !maps.Equal(valuesOf(s.feed.entries), valuesOf(store.entries)) {
+				t.Errorf("seed %d: node %d does not have the contents of the store at revision %d of %d", seed, i, s.feed.Revision(), store.revision)
+			}
+		}
+	}
+}
+
+// valuesOf returns the values of entries by key.
+func valuesOf(entries map[string]Entry) map[string]string {
+	values := map[string]string{}
+	for key, e := range entries {
+		values[key] = e.Value
+	}
+	return values
+}
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,13 @@
 // it has, so the caller has to read everything.
 var ErrPatchResult = eris.New("the patch does not produce the sender's value, or does not say which one that is; read everything again")
 
+// ErrContentsDiffer means that the feed would have other entries than the sender at the same revision, so one of the two has
+// to read everything from the store.
+var ErrContentsDiffer = eris.New("this node and the sender have different entries at the same revision; read everything from the store")
+
+// emptyDigest is the digest of a feed without entries. It is not 0, which means that a digest is not known.
+const emptyDigest = 1
+
 // maxRemovals bounds the number of removals that a feed keeps. A follower that is further behind gets all entries.
 const maxRemovals = 1024
 
@@ -62,6 +70,14 @@
 	// Full means that Entries lists all entries of the store. Other entries do not exist. To a follower of an earlier era,
 	// a node also lists the removals that it knows from this era.
 	Full bool `json:"f,omitempty"`
+	// Whole is set for the answer to a position without a revision. It has the values of all entries, whatever the
+	// follower has.
+	Whole bool `json:"-"`
+	// FromStore is set for an answer of the store itself.
+	FromStore bool `json:"-"`
+	// ContentsDigest is the digest of all entries that the sender has at Revision (see Feed.ContentsDigest). It is stated
+	// with entries, and to a follower that has different ones at the same revision. 0 means that it is not stated.
+	ContentsDigest uint64 `json:"c,omitempty"`
 	// StoreAge is the time since the store last confirmed the revision.
 	StoreAge time.Duration `json:"a"`
 	// Uninterrupted is set by a node whose contact with the store has not been interrupted. Entries that it removed did
@@ -91,6 +107,8 @@
 	// written and removed in it are not known here, but a follower inside it may have them.
 	gap      revisionRange
 	revision uint64
+	// contentsDigest is emptyDigest plus the digests of all entries.
+	contentsDigest uint64
 	// largeDigests holds the digests of the present values of large entries by key, earlierValues the values before them,
 	// the newest last. Digests identify a value in every era, which a revision does not.
 	largeDigests  map[string]uint64
@@ -112,7 +130,7 @@
 
 // NewFeed returns an empty feed.
 func NewFeed() *Feed {
-	return &Feed{entries: map[string]Entry{}, largeDigests: map[string]uint64{}, earlierValues: map[string][]largeValue{}}
+	return &Feed{entries: map[string]Entry{}, contentsDigest: emptyDigest, largeDigests: map[string]uint64{}, earlierValues: map[string][]largeValue{}}
 }
 
 // Era returns the era that the revisions of the feed belong to.
@@ -124,6 +142,45 @@
 // isEmpty reports whether nothing has been applied yet.
 func (f *Feed) isEmpty() bool { return f.era == 0 && f.revision == 0 }
 
+// ContentsDigest returns a digest of the keys and values of all entries. Two feeds at the same revision have the same
+// digest, unless one of them has missed a change or has a wrong value.
+func (f *Feed) ContentsDigest() uint64 { return f.contentsDigest }
+
+// contents identifies the entries of the feed.
+func (f *Feed) contents() consistency.Contents {
+	return consistency.Contents{Era: f.era, Revision: f.revision, Digest: f.contentsDigest}
+}
+
+// contents identifies the entries that the sender of the delta has.
+func (d *Delta) contents() consistency.Contents {
+	return consistency.Contents{Era: d.Era, Revision: d.Revision, Digest: d.ContentsDigest}
+}
+
+// setEntry puts an entry in place of the one with its key.
+func (f *Feed) setEntry(e Entry) {
+	f.deleteEntry(e.Key)
+	f.entries[e.Key] = e
+	f.contentsDigest += digestEntry(e)
+}
+
+// deleteEntry deletes the entry with a key, if there is one.
+func (f *Feed) deleteEntry(key string) {
+	if known, ok := f.entries[key]; ok {
+		delete(f.entries, key)
+		f.contentsDigest -= digestEntry(known)
+	}
+}
+
+// digestEntry returns a digest of an entry's key and value. The revision is left out: it says when the value was last
+// written, and the same value can be written again.
+func digestEntry(e Entry) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(uint64(len(e.Key)))
+	_, _ = d.WriteString(e.Key)
+	_, _ = d.WriteString(e.Value)
+	return d.Sum64()
+}
+
 // CheckEra returns ErrOlderEra for a delta of an earlier era than the feed's, and ErrEraChanged for a delta of a later
 // one that is not full and so does not continue the feed.
 func (f *Feed) CheckEra(d Delta) error {
@@ -135,12 +192,41 @@
 
 // Apply applies a delta and returns the entries that it changed. If the delta is full, these include removals of the
 // entries that it does not list. A full delta of a later era replaces the contents; entries whose values stay the same
-// are not returned. If Apply returns an error (see CheckEra, ErrPatchBase and ErrPatchResult), the feed is
-// unchanged.
+// are not returned. A whole delta that is not older than the feed replaces values and removals that differ, even if the
+// feed has them from the same revision. If Apply returns an error (see CheckEra, ErrPatchBase, ErrPatchResult and
+// ErrContentsDiffer), the feed is unchanged.
 func (f *Feed) Apply(d Delta) ([]Entry, error) {
 	if err := f.CheckEra(d); err != nil {
 		return nil, err
 	}
+	if d.ContentsDigest == 0 {
+		return f.apply(d)
+	}
+	next := f.clone()
+	changed, err := next.apply(d)
+	if err != nil {
+		return nil, err
+	}
+	if next.contents().DifferFrom(d.contents()) {
+		return nil, ErrContentsDiffer
+	}
+	*f = *next
+	return changed, nil
+}
+
+// clone returns a copy that can be changed without changing the feed.
+func (f *Feed) clone() *Feed {
+	c := *f
+	c.entries, c.removals = maps.Clone(f.entries), slices.Clone(f.removals)
+	c.largeDigests, c.earlierValues = maps.Clone(f.largeDigests), maps.Clone(f.earlierValues)
+	for key, list := range c.earlierValues {
+		c.earlierValues[key] = slices.Clone(list)
+	}
+	return &c
+}
+
+// apply applies a delta of the same era, or a full one of a later era, without comparing the contents.
+func (f *Feed) apply(d Delta) ([]Entry, error) {
 	var changed []Entry
 	for i := range d.Entries {
 		if err := f.decodeValue(&d.Entries[i], d.Era); err != nil {
@@ -153,6 +239,9 @@
 	if d.Era != f.era {
 		return f.replace(d), nil
 	}
+	if d.Whole && d.Full && d.Revision >= f.revision {
+		changed = f.repair(d.Entries)
+	}
 	if d.Full {
 		listed := map[string]bool{}
 		for _, e := range d.Entries {
@@ -167,9 +256,9 @@
 	}
 	// The feed is complete up to its revision, so a delta that is behind has news only after it. An entry from before
 	// may have been removed before the feed's first full delta, whose removals are not known. This rule needs revisions
-	// that do not go back, so it does not apply to a store that does not send its era.
+	// that do not go back, so it does not apply to the answers of a store that does not send its era.
 	outdated := uint64(0)
-	if d.Revision < f.revision && f.era > 0 {
+	if d.Revision < f.revision && (f.era > 0 || !d.FromStore) {
 		outdated = f.revision
 	}
 	for _, e := range d.Entries {
@@ -181,6 +270,24 @@
 	return changed, nil
 }
 
+// repair puts the entries that differ from those of a whole delta although the feed has them from the same revision, or has
+// recorded their removal since. It returns these entries. Something went wrong before, so that putEntry would take them
+// for known.
+func (f *Feed) repair(entries []Entry) []Entry {
+	var changed []Entry
+	for _, e := range entries {
+		known, exists := f.entries[e.Key]
+		if e.Removed || !f.supersedes(e) || (exists && (known.Revision > e.Revision || known.Value == e.Value)) {
+			continue
+		}
+		f.keepEarlierValue(known)
+		f.setEntry(e)
+		f.recordDigest(e)
+		changed = append(changed, e)
+	}
+	return changed
+}
+
 // recordGap records that a full delta advances the feed to a revision. Only the last gap is kept, so followers at revisions
 // before it get full deltas.
 func (f *Feed) recordGap(revision uint64) {
@@ -193,7 +300,7 @@
 // replace replaces the contents by those of a full delta of a later era, and returns the entries that differ.
 func (f *Feed) replace(d Delta) []Entry {
 	old := f.entries
-	f.era, f.entries, f.removals, f.removalsFrom, f.gap, f.revision = d.Era, map[string]Entry{}, nil, 0, revisionRange{}, 0
+	f.era, f.entries, f.removals, f.removalsFrom, f.gap, f.revision, f.contentsDigest = d.Era, map[string]Entry{}, nil, 0, revisionRange{}, 0, emptyDigest
 	f.recordGap(d.Revision)
 	f.revision = d.Revision
 	var changed []Entry
@@ -208,7 +315,7 @@
 			}
 			continue
 		}
-		f.entries[e.Key] = e
+		f.setEntry(e)
 		if exists && known.Value == e.Value {
 			continue
 		}
@@ -332,12 +439,12 @@
 		f.keepEarlierValue(known)
 	}
 	if !e.Removed {
-		f.entries[e.Key] = e
+		f.setEntry(e)
 		f.recordDigest(e)
 		return []Entry{e}
 	}
 	e = f.addLastValue(e, f.entries[e.Key])
-	delete(f.entries, e.Key)
+	f.deleteEntry(e.Key)
 	f.removals = append(f.removals, e)
 	if len(f.removals) > maxRemovals {
 		f.removalsFrom = max(f.removalsFrom, f.removals[0].Revision)
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bamboodeal/bamboodeal/decision/consistency"
 	"github.com/bamboodeal/bamboodeal/decision/sources"
 	"github.com/bamboodeal/bamboodeal/pkg/clock"
 )
@@ -102,6 +103,10 @@
 	lastMembers     membersOfView
 	// viewSource is the source of the last delta that was applied.
 	viewSource string
+	// arbiter decides whether this node or another one is wrong if their contents differ. disputed is set when a follower
+	// has stated different contents.
+	arbiter  consistency.Arbiter
+	disputed atomic.Bool
 
 	mu   sync.Mutex
 	feed *Feed
@@ -186,6 +191,9 @@
 			return
 		case <-nextRead.C:
 			startedAt = s.options.Clock.Now()
+			if s.disputed.Swap(false) {
+				s.settleDispute(startedAt, "a follower")
+			}
 			source := s.nextSource(startedAt)
 			wait := readWait
 			if source != sources.Store && s.sources.IsReader() {
@@ -279,7 +287,8 @@
 		return Position{Era: s.feed.Era()}
 	}
 	p := Position{
-		Era: s.feed.Era(), Revision: s.feed.Revision(), LargeDigests: s.feed.LargeDigests(), WideLinksDigest: s.wideLinks.digest(),
+		Era: s.feed.Era(), Revision: s.feed.Revision(), LargeDigests: s.feed.LargeDigests(), ContentsDigest: s.feed.ContentsDigest(),
+		WideLinksDigest: s.wideLinks.digest(),
 	}
 	if p.WideLinksDigest != s.sourceLinksDigest {
 		p.WideLinkVMs = s.wideLinks.vms()
@@ -316,6 +325,7 @@
 		source = s.options.PeerSource(name)
 	}
 	delta, err := source.Read(after, wait)
+	delta.Whole = after.Revision == 0
 	if err == nil && delta.StoreAge > sources.MaxStoreAge {
 		err = ErrReaderStale
 	}
@@ -342,6 +352,9 @@
 		s.options.Log.WithError(err).WithField("source", result.source).Warn("refused a patch; reading all entries again")
 		s.readEverything = true
 		err = nil
+	case errors.Is(err, ErrContentsDiffer):
+		s.sources.RecordFailure(now, result.source)
+		s.settleDispute(now, result.source)
 	default:
 		s.sources.RecordFailure(now, result.source)
 		s.options.Log.WithError(err).WithField("source", result.source).Debug("reading from a source failed; trying again, possibly from another source")
@@ -352,6 +365,7 @@
 
 // handleDelta applies the delta of a read unless it is of another era and cannot replace the contents.
 func (s *Syncer) handleDelta(now time.Duration, result readResult) error {
+	result.delta.FromStore = result.source == sources.Store
 	d := result.delta
 	s.mu.Lock()
 	s.wideLinks.add(d.WideLinkVMs)
@@ -373,6 +387,21 @@
 	return result.err
 }
 
+// settleDispute handles that another node has different entries at the same revision: the arbiter decides whether this node
+// reads everything from the store.
+func (s *Syncer) settleDispute(now time.Duration, other string) {
+	s.mu.Lock()
+	own := s.feed.contents()
+	s.mu.Unlock()
+	line := s.options.Log.WithFields(logrus.Fields{"other": other, "era": own.Era, "revision": own.Revision, "digest": own.Digest})
+	if !s.arbiter.MustReadStore(now) {
+		line.Warn("another node has different entries at the same revision; this node has just read its own, so the other one has to")
+		return
+	}
+	line.Warn("another node has different entries at the same revision; reading all entries from the store")
+	s.readEverything, s.readStoreNext = true, true
+}
+
 // noticeRestore makes the next read of the store return all entries, because an answer has shown a later era than the
 // feed's.
 func (s *Syncer) noticeRestore(now time.Duration, source string) {
@@ -403,6 +432,9 @@
 	}
 	s.readEverything = false
 	newEra := s.feed.Era() != lastEra
+	if d.Whole && d.Full && (newEra || d.Revision >= lastRevision) {
+		s.arbiter.RecordWhole(now, d.FromStore)
+	}
 	if newEra {
 		s.eraBeganAt = now - d.EraAge
 		s.registry.BeginEra(s.eraBeganAt, d.Era)
@@ -413,7 +445,7 @@
 		s.registry.RecordContact(at, d.Uninterrupted)
 		s.uninterrupted.Store(s.registry.ContactUninterrupted(now))
 	}
-	if newEra || result.source == sources.Store {
+	if newEra || d.FromStore {
 		s.storeRestored = false
 	}
 	if newEra && !first {
--- a/pkg/mesh/serve.go
+++ b/pkg/mesh/serve.go
@@ -7,7 +7,8 @@
 )
 
 // ServeRead answers a read by a node that follows this one. It returns what changed after a position as soon as there
-// is a change, at the latest after the wait. It does not wait if the node that follows is in another era of the store.
+// is a change, at the latest after the wait. It does not wait if the node that follows is in another era of the store, or
+// has different entries at the same revision.
 func (s *Syncer) ServeRead(after Position, wait time.Duration) Delta {
 	// The timer also ends when this node's contact with the store becomes too old, so that the follower learns of it
 	// immediately and not at the end of its wait.
@@ -15,7 +16,7 @@
 	defer timer.Stop()
 	for {
 		delta, changed := s.changesSince(after)
-		if len(delta.Entries) > 0 || delta.Full || delta.Era != after.Era || delta.StoreAge > sources.MaxStoreAge {
+		if len(delta.Entries) > 0 || delta.Full || delta.ContentsDigest != 0 || delta.Era != after.Era || delta.StoreAge > sources.MaxStoreAge {
 			return delta
 		}
 		select {
@@ -41,6 +42,14 @@
 	if delta.WideLinksDigest = s.wideLinks.digest(); delta.WideLinksDigest != after.WideLinksDigest {
 		delta.WideLinkVMs = s.wideLinks.vms()
 	}
+	own := s.feed.contents()
+	differ := own.DifferFrom(after.contents())
+	if differ {
+		s.disputed.Store(true)
+	}
+	if differ || len(delta.Entries) > 0 {
+		delta.ContentsDigest = own.Digest
+	}
 	for i, e := range delta.Entries {
 		base, has := after.LargeDigests[e.Key]
 		if !has || e.Removed || e.Unchanged {
--- a/pkg/mesh/source.go
+++ b/pkg/mesh/source.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/bamboodeal/bamboodeal/decision/consistency"
 )
 
 // ErrHistoryLost means that the source no longer has all changes after the given revision, so the caller has to read
@@ -43,12 +45,20 @@
 	// LargeDigests holds the digests of the values of the follower's large entries by key. The source may send patches to
 	// these values, and leaves out a value that the follower has.
 	LargeDigests map[string]uint64 `json:"l,omitempty"`
+	// ContentsDigest is the digest of all entries that the follower has (see Feed.ContentsDigest). Nodes of earlier releases
+	// don't state it.
+	ContentsDigest uint64 `json:"c,omitempty"`
 	// WideLinksDigest is the digest of the VMs that the follower knows to have wide links. WideLinkVMs lists these VMs
 	// if the last answer showed that the source knows a different set.
 	WideLinksDigest uint64   `json:"n,omitempty"`
 	WideLinkVMs     []string `json:"w,omitempty"`
 }
 
+// contents identifies the entries that the follower has.
+func (p *Position) contents() consistency.Contents {
+	return consistency.Contents{Era: p.Era, Revision: p.Revision, Digest: p.ContentsDigest}
+}
+
 // Source is the platform's store or another node. Only one goroutine uses a Source.
 type Source interface {
 	// Read returns what changed after a position. It waits until there is a change, but no longer than the given time.
--- a/pkg/sidecar/message.go
+++ b/pkg/sidecar/message.go
@@ -113,14 +113,29 @@
 type storeChangesResponse struct {
 	mesh.Delta
 	// Eras is the same as in the request.
-	Eras bool `json:"eras"`
+	Eras bool `json:"eras,omitempty"`
+	// SameLinks is set in place of Eras and of the digest of wide links, if the follower knows the same wide links. Only
+	// nodes that state the digest of their contents understand it.
+	SameLinks bool `json:"m,omitempty"`
+}
+
+// newStoreChangesResponse returns the response that carries a delta to a follower.
+func newStoreChangesResponse(follower mesh.Position, d mesh.Delta) storeChangesResponse {
+	if follower.ContentsDigest == 0 || d.WideLinksDigest != follower.WideLinksDigest {
+		return storeChangesResponse{Delta: d, Eras: true}
+	}
+	d.WideLinksDigest = 0
+	return storeChangesResponse{Delta: d, SameLinks: true}
 }
 
 // deltaAfter returns the delta. That of a node of an earlier release counts as of the era that was asked for: as one of
 // era 0 it would be refused, and all nodes that are updated before their readers would read the store.
 func (r *storeChangesResponse) deltaAfter(p mesh.Position) mesh.Delta {
 	d := r.Delta
-	if !r.Eras && d.Revision > 0 {
+	switch {
+	case r.SameLinks:
+		d.WideLinksDigest = p.WideLinksDigest
+	case !r.Eras && d.Revision > 0:
 		d.Era = p.Era
 	}
 	return d
@@ -162,6 +177,7 @@
 	if n.o.StoreStatus != nil {
 		era = n.o.StoreStatus().Era
 	}
-	delta := n.o.StoreChanges(request.positionIn(era), time.Duration(request.WaitMS)*time.Millisecond)
-	writeMessage(ctx, storeChangesResponse{Delta: delta, Eras: true})
+	follower := request.positionIn(era)
+	delta := n.o.StoreChanges(follower, time.Duration(request.WaitMS)*time.Millisecond)
+	writeMessage(ctx, newStoreChangesResponse(follower, delta))
 }
--- a/pkg/sidecar/message_test.go
+++ b/pkg/sidecar/message_test.go
@@ -14,7 +14,7 @@
 func TestStoreChangesRequestEncodesWholePosition(t *testing.T) {
 	g := NewWithT(t)
 	sent := storeChangesRequest{
-		Position: mesh.Position{Era: 3, Revision: 7, LargeDigests: map[string]uint64{"c": 5}, WideLinksDigest: 9, WideLinkVMs: []string{"10.0.0.1"}}, WaitMS: 500, Eras: true,
+		Position: mesh.Position{Era: 3, Revision: 7, LargeDigests: map[string]uint64{"c": 5}, ContentsDigest: 6, WideLinksDigest: 9, WideLinkVMs: []string{"10.0.0.1"}}, WaitMS: 500, Eras: true,
 	}
 	data, err := json.Marshal(sent)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -27,9 +27,9 @@
 func TestStoreChangesResponseEncodesWholeDelta(t *testing.T) {
 	g := NewWithT(t)
 	sent := storeChangesResponse{Delta: mesh.Delta{
-		Entries: []mesh.Entry{{Key: "a", Value: "x", Revision: 5, Removed: true, Base: 7, Unchanged: true, Patch: []mesh.PatchStep{{Text: "y"}}}},
-		Era:     3, Revision: 7, Full: true, StoreAge: 9, Uninterrupted: true, EraAge: 11, WideLinksDigest: 13, WideLinkVMs: []string{"10.0.0.1"},
-	}, Eras: true}
+		Entries: []mesh.Entry{{Key: "a", Value: "x", Revision: 5, Removed: true, Base: 7, Result: 8, Unchanged: true, Patch: []mesh.PatchStep{{Text: "y"}}}},
+		Era:     3, Revision: 7, Full: true, ContentsDigest: 10, StoreAge: 9, Uninterrupted: true, EraAge: 11, WideLinksDigest: 13, WideLinkVMs: []string{"10.0.0.1"},
+	}, Eras: true, SameLinks: true}
 	data, err := json.Marshal(sent)
 	g.Expect(err).NotTo(HaveOccurred())
 	var received storeChangesResponse
@@ -52,3 +52,30 @@
 	g.Expect((&storeChangesResponse{}).deltaAfter(mesh.Position{Era: 3})).To(Equal(mesh.Delta{}), "a node without contents is in no era")
 	g.Expect((&storeChangesResponse{Delta: mesh.Delta{Era: 2, Revision: 8}, Eras: true}).deltaAfter(mesh.Position{Era: 3}).Era).To(Equal(uint64(2)))
 }
+
+// Guards against a reader that hides from a follower of an earlier release that it knows the same wide links, which would send
+// its list with each read, and against a follower that takes the short form for other links or for an earlier release.
+func TestResponseLeavesOutWhatFollowerKnows(t *testing.T) {
+	g := NewWithT(t)
+	follower := mesh.Position{Era: 3, Revision: 7, ContentsDigest: 6, WideLinksDigest: 9}
+	d := mesh.Delta{Era: 3, Revision: 7, StoreAge: 1, WideLinksDigest: 9}
+	for _, c := range []struct {
+		follower mesh.Position
+		delta    mesh.Delta
+		short    bool
+	}{
+		{follower, d, true},
+		{mesh.Position{Era: 3, Revision: 7, WideLinksDigest: 9}, d, false},
+		{mesh.Position{Era: 3, Revision: 7, ContentsDigest: 6, WideLinksDigest: 8}, d, false},
+		{follower, mesh.Delta{Era: 3, Revision: 7, StoreAge: 1}, false},
+	} {
+		sent := newStoreChangesResponse(c.follower, c.delta)
+		g.Expect(sent.SameLinks).To(Equal(c.short))
+		g.Expect(sent.Eras).To(Equal(!c.short), "followers of an earlier release need it")
+		data, err := json.Marshal(sent)
+		g.Expect(err).NotTo(HaveOccurred())
+		var received storeChangesResponse
+		g.Expect(json.Unmarshal(data, &received)).To(Succeed())
+		g.Expect(received.deltaAfter(c.follower)).To(Equal(c.delta))
+	}
+}
