Let attempts at sources share the bound of a change

Cause: each attempt to read had 850 ms of its own. A node tried a reader of its data centre, two of others and the first again before the store.

Enough of it is kept to read the store; after a failure sources are asked to answer at once; late answers are still used, and what an answer takes beyond its wait counts as its age. The decision is in decision/sources, without clock or network. The start and the end of a search for a source are logged.

Why it works: however many sources fail, and in whatever way, the time that they can use is bounded together, and the store's share is kept out of it.

--- a/cmd/bamboodeal-sidecar/main.go
+++ b/cmd/bamboodeal-sidecar/main.go
@@ -93,7 +93,7 @@
 	store := platform.NewStoreClient(s.StoreAddress, log)
 	syncer := mesh.NewSyncer(mesh.SyncerOptions{
 		VM: mesh.HostIP(s.Node.PeerAddress), DataCentre: s.Node.DataCentre, UpstreamAddress: s.Node.UpstreamAddress,
-		HeartbeatInterval: s.Node.HeartbeatInterval, WideLink: s.Node.LinkMbps >= wideLinkMbps,
+		HeartbeatInterval: s.Node.HeartbeatInterval, ChangeBound: s.Node.ChangeBound, WideLink: s.Node.LinkMbps >= wideLinkMbps,
 		Store: store, Decode: store.DecodeEntry, Clock: c, Log: log,
 		PeerSource: func(vm string) mesh.Source { return node.PeerSource(vm) },
 		OnView:     func(v *mesh.View) { node.UpdateView(v) },
--- a/decision/sources/readers.go
+++ b/decision/sources/readers.go
@@ -27,11 +27,10 @@
 	// maxRemoteReaders is the number of readers with wide links in other data centres that a node tries. It tries as
 	// many with narrow links.
 	maxRemoteReaders = 2
-	// failureBackoff is how long a source that failed is not used if there is another one.
-	failureBackoff = time.Second
-	// MaxStoreAge is the longest time since a reader last had contact with the store for which its followers stay with
-	// it. A change that the reader missed still has to reach its followers within 2 s.
-	MaxStoreAge = 1200 * time.Millisecond
+	// failureBackoff is how long a source that failed is not used if there is another one. For a node that goes on to fail
+	// it doubles, at most maxBackoffDoublings times.
+	failureBackoff      = time.Second
+	maxBackoffDoublings = 2
 )
 
 // Member is a VM on which a node runs.
@@ -82,9 +81,18 @@
 // Selector selects the source that a node reads next, and avoids sources that failed recently. It is not safe for
 // concurrent use.
 type Selector struct {
-	ownVM        string
-	dataCentre   string
+	ownVM      string
+	dataCentre string
+	budget     Budget
+	// backoffUntil holds the times until which sources are avoided, failures how often they have failed without an answer
+	// in between.
 	backoffUntil map[string]time.Duration
+	failures     map[string]int
+	// searching is true since a source failed until any source answers, storeFailed if the store is one of those that
+	// failed since then.
+	searching, storeFailed bool
+	// candidates is the number of other nodes that the last call of Next could have returned.
+	candidates int
 	// isReader is true while this node is a reader.
 	isReader bool
 	// readerFailures counts the failures of other nodes as sources.
@@ -99,30 +107,71 @@
 }
 
 // NewSelector returns the selector of the node on a VM in the given data centre.
-func NewSelector(ownVM, dataCentre string) *Selector {
-	return &Selector{ownVM: ownVM, dataCentre: dataCentre, backoffUntil: map[string]time.Duration{}}
+func NewSelector(ownVM, dataCentre string, budget Budget) *Selector {
+	return &Selector{
+		ownVM: ownVM, dataCentre: dataCentre, budget: budget, backoffUntil: map[string]time.Duration{}, failures: map[string]int{},
+	}
 }
 
-// Next returns the source to read from now: the store, or the VM of another node. If all sources failed recently it
-// returns the store.
-func (s *Selector) Next(now time.Duration, members []Member) string {
+// Next returns the source to read from now: the store, or the VM of another node. age is the time since the store last
+// confirmed what this node has. If all sources failed recently, or no more time is left for other nodes, Next returns the
+// store.
+func (s *Selector) Next(now time.Duration, members []Member, age time.Duration) string {
 	if s.readers == nil || !slices.Equal(members, s.members) {
 		s.members = slices.Clone(members)
 		s.readers, s.rendezvous = Readers(members, s.dataCentre), s.rendezvousVM(members)
 	}
-	order := s.orderSources(now)
-	if vm := s.rendezvous; vm != Store && now >= s.nextRendezvous && now >= s.backoffUntil[vm] {
+	usable := slices.DeleteFunc(s.orderSources(now), func(name string) bool { return now < s.backoffUntil[name] })
+	storeIsUsable := slices.Contains(usable, Store)
+	s.candidates = len(usable)
+	if storeIsUsable {
+		s.candidates--
+	}
+	if storeIsUsable && !s.storeFailed && s.budget.needsStore(age) {
+		return Store
+	}
+	if vm := s.rendezvous; vm != Store && !s.searching && now >= s.nextRendezvous && now >= s.backoffUntil[vm] {
 		s.nextRendezvous = now + rotationInterval
 		return vm
 	}
-	for _, name := range order {
-		if now >= s.backoffUntil[name] {
-			return name
-		}
+	if len(usable) > 0 {
+		return usable[0]
 	}
 	return Store
 }
 
+// Limits returns the limits of an attempt to read from the source that the last call of Next returned, or from another
+// one in its place. A source that failed last time, and all sources while none has answered since a failure, are asked
+// to answer at once. whole is true if the node needs all entries.
+func (s *Selector) Limits(source string, age time.Duration, whole bool) Limits {
+	wait := ReadWait
+	switch {
+	case s.searching || s.failures[source] > 0:
+		wait = probeWait
+	case source != Store && s.isReader:
+		wait = relayReadWait
+	}
+	if source == Store {
+		l := Limits{wait, wait + StoreAnswerMargin}
+		if whole {
+			return Limits{wait, wholeReadTimeout}
+		}
+		if s.budget.left(age) <= 0 {
+			return l
+		}
+		return s.budget.limitStore(l, age, s.candidates > 0)
+	}
+	l := Limits{wait, wait + AnswerMargin}
+	if s.storeFailed || s.budget.left(age) <= 0 {
+		return l
+	}
+	candidates := 1
+	if s.searching {
+		candidates = s.candidates
+	}
+	return s.budget.limitPeer(l, age, candidates)
+}
+
 // orderSources returns the sources of this node in the order of preference. The first reader of a data centre reads the
 // store, and the other readers of the data centre follow it. If the first reader has a narrow link, the readers of its
 // data centre follow one with a wide link in another data centre. Readers follow remote readers with narrow links only
@@ -195,13 +244,27 @@
 	}
 }
 
+// Searching reports whether a source has failed and none has answered since.
+func (s *Selector) Searching() bool { return s.searching }
+
 // IsReader reports whether this node is a reader according to the members that were passed to the last call of Next.
 func (s *Selector) IsReader() bool { return s.isReader }
 
 // RecordFailure records that a source failed, so that Next avoids it for some time.
 func (s *Selector) RecordFailure(now time.Duration, name string) {
-	s.backoffUntil[name] = now + failureBackoff
-	if name != Store {
-		s.readerFailures++
+	s.searching = true
+	s.failures[name]++
+	if name == Store {
+		s.storeFailed = true
+		s.backoffUntil[name] = now + failureBackoff
+		return
 	}
+	s.backoffUntil[name] = now + failureBackoff<<min(s.failures[name]-1, maxBackoffDoublings)
+	s.readerFailures++
+}
+
+// RecordAnswer records that a source answered with recent contents.
+func (s *Selector) RecordAnswer(name string) {
+	s.searching, s.storeFailed = false, false
+	delete(s.failures, name)
 }
--- a/decision/sources/readers_test.go
+++ b/decision/sources/readers_test.go
@@ -9,6 +9,10 @@
 	. "github.com/onsi/gomega"
 )
 
+func newSelector(vm, dataCentre string) *Selector {
+	return NewSelector(vm, dataCentre, NewBudget(DefaultChangeBound))
+}
+
 func newMembers(perDataCentre int) []Member {
 	dataCentres := []string{"north", "south", "west"}
 	members := make([]Member, 0, len(dataCentres)*perDataCentre)
@@ -22,9 +26,9 @@
 
 // sourceAfterRendezvous returns the source that a node selects after its first read, which is from the rendezvous VM.
 func sourceAfterRendezvous(vm, dataCentre string, members []Member) string {
-	s := NewSelector(vm, dataCentre)
-	s.Next(0, members)
-	return s.Next(0, members)
+	s := newSelector(vm, dataCentre)
+	s.Next(0, members, 0)
+	return s.Next(0, members, 0)
 }
 
 // Nodes that each know only their own wide link would all read the store. They first read from one VM of their data
@@ -34,7 +38,7 @@
 	members := newMembers(6)
 	sources := map[string]int{}
 	for _, m := range members[:6] {
-		sources[NewSelector(m.VM, m.DataCentre).Next(0, members)]++
+		sources[newSelector(m.VM, m.DataCentre).Next(0, members, 0)]++
 	}
 	g.Expect(sources).To(HaveLen(2))
 	g.Expect(sources).NotTo(HaveKey(Store))
@@ -68,21 +72,21 @@
 	g := NewWithT(t)
 	members := newMembers(4)
 	reader := Readers(members, "west")[0].VM
-	s := NewSelector(reader, "west")
-	s.Next(0, members)
-	g.Expect(s.Next(0, members)).To(Equal(Store))
+	s := newSelector(reader, "west")
+	s.Next(0, members, 0)
+	g.Expect(s.Next(0, members, 0)).To(Equal(Store))
 	s.RecordFailure(0, Store)
-	other := s.Next(0, members)
+	other := s.Next(0, members, 0)
 	g.Expect(other).To(SatisfyAny(HavePrefix("north"), HavePrefix("south")))
-	g.Expect(s.Next(failureBackoff, members)).To(Equal(Store))
+	g.Expect(s.Next(failureBackoff, members, 0)).To(Equal(Store))
 }
 
 // A node that knows no other node reads the store, even if the store has just failed.
 func TestNodeWithoutMembersReadsStore(t *testing.T) {
 	g := NewWithT(t)
-	s := NewSelector("a", "north")
+	s := newSelector("a", "north")
 	s.RecordFailure(0, Store)
-	g.Expect(s.Next(time.Millisecond, nil)).To(Equal(Store))
+	g.Expect(s.Next(time.Millisecond, nil, 0)).To(Equal(Store))
 }
 
 // Whole values from the store fill links of 10 Mbit/s, so the followers of readers with such links fell behind. When
@@ -119,10 +123,10 @@
 func TestManyStaleReadersDoNotHideStore(t *testing.T) {
 	g := NewWithT(t)
 	members := newMembers(30)
-	s := NewSelector("north-1", "north")
+	s := newSelector("north-1", "north")
 	asked := map[string]bool{}
 	for now := time.Duration(0); now < failureBackoff; now += failureBackoff / 8 {
-		source := s.Next(now, members)
+		source := s.Next(now, members, 0)
 		asked[source] = true
 		s.RecordFailure(now, source)
 	}
@@ -138,16 +142,16 @@
 		members[i].WideLink = false
 	}
 	for _, m := range members[:4] {
-		s := NewSelector(m.VM, m.DataCentre)
-		s.Next(0, members)
+		s := newSelector(m.VM, m.DataCentre)
+		s.Next(0, members, 0)
 		for range 3 {
-			source := s.Next(0, members)
+			source := s.Next(0, members, 0)
 			if !strings.HasPrefix(source, "north") && source != Store {
 				break
 			}
 			s.RecordFailure(0, source)
 		}
-		g.Expect(s.Next(0, members)).To(SatisfyAny(HavePrefix("south"), HavePrefix("west")), m.VM)
+		g.Expect(s.Next(0, members, 0)).To(SatisfyAny(HavePrefix("south"), HavePrefix("west")), m.VM)
 	}
 }
 
@@ -156,13 +160,13 @@
 	g := NewWithT(t)
 	members := newMembers(60)
 	working := Readers(members, "south")[1].VM
-	s := NewSelector("south-40", "south")
-	s.Next(0, members)
+	s := newSelector("south-40", "south")
+	s.Next(0, members, 0)
 	const step = 100 * time.Millisecond
 	now := time.Duration(0)
 	for source := ""; source != working; now += step {
 		g.Expect(now).To(BeNumerically("<", 2*time.Second))
-		if source = s.Next(now, members); source != working {
+		if source = s.Next(now, members, 0); source != working {
 			s.RecordFailure(now, source)
 		}
 	}
@@ -192,13 +196,13 @@
 	g := NewWithT(t)
 	members := newMembers(30)
 	readers := Readers(members, "north")[:2]
-	next := NewSelector(readers[1].VM, "north")
-	next.Next(0, members)
-	g.Expect(next.Next(0, members)).To(Equal(readers[0].VM))
+	next := newSelector(readers[1].VM, "north")
+	next.Next(0, members, 0)
+	g.Expect(next.Next(0, members, 0)).To(Equal(readers[0].VM))
 	next.RecordFailure(0, readers[0].VM)
-	g.Expect(next.Next(time.Millisecond, members)).To(Equal(Store))
-	follower := NewSelector("north-20", "north")
-	follower.Next(0, members)
+	g.Expect(next.Next(time.Millisecond, members, 0)).To(Equal(Store))
+	follower := newSelector("north-20", "north")
+	follower.Next(0, members, 0)
 	follower.RecordFailure(0, readers[0].VM)
-	g.Expect(follower.Next(time.Millisecond, members)).To(Equal(readers[1].VM))
+	g.Expect(follower.Next(time.Millisecond, members, 0)).To(Equal(readers[1].VM))
 }
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/bamboodeal/bamboodeal/decision/consistency"
@@ -16,12 +17,6 @@
 )
 
 const (
-	// readWait is how long a read waits at the source for a change. After this time a node notices that a reader has
-	// lost the store or that a connection no longer answers.
-	readWait = 500 * time.Millisecond
-	// relayReadWait is the same for a reader that reads from another reader. It is shorter, because the data of such a
-	// reader may be older by this wait, and the data of its followers by their own wait in addition.
-	relayReadWait = 150 * time.Millisecond
 	// minReadInterval is the shortest time between the starts of two reads, so that a series of changes needs few
 	// calls. It is a small part of the 2 s within which a version has to be in force. minStoreReadInterval is the same for
 	// reads of the store, whose calls are billed. A change that follows no other one is not delayed by it, because a read
@@ -48,6 +43,9 @@
 	// node would try all readers within a few milliseconds and then ask the store, before the readers have noticed the
 	// restore.
 	olderEraDelay = 200 * time.Millisecond
+	// maxOpenReads bounds the reads of which the node waits for an answer or that it has given up but that have not ended.
+	// Each ends within sources.ReadWait and an answer margin, and the next one starts after sources.minAttempt at the earliest.
+	maxOpenReads = 16
 	// removalCheckInterval is how often the registry is checked for entries whose removal is due.
 	removalCheckInterval = 250 * time.Millisecond
 )
@@ -60,6 +58,9 @@
 	UpstreamAddress string
 	// HeartbeatInterval is the interval at which upstreams report to the store.
 	HeartbeatInterval time.Duration
+	// ChangeBound is the time from the store's acknowledgement of a change within which it has to be in force here; 0 stands
+	// for sources.DefaultChangeBound.
+	ChangeBound time.Duration
 	// WideLink is true if this node's VM has a wide link, that is, one with a high bandwidth (see sources.Member). Such
 	// nodes are preferred as readers.
 	WideLink bool
@@ -84,6 +85,7 @@
 	options  SyncerOptions
 	registry *Registry
 	sources  *sources.Selector
+	budget   sources.Budget
 	view     atomic.Pointer[View]
 	// confirmedAt is when the store last confirmed the view, as a time.Duration of the clock.
 	confirmedAt atomic.Int64
@@ -142,9 +144,10 @@
 
 // NewSyncer returns a Syncer whose view is empty.
 func NewSyncer(o SyncerOptions) *Syncer {
+	budget := sources.NewBudget(o.ChangeBound)
 	s := &Syncer{
-		options: o, registry: NewRegistry(o.UpstreamAddress, o.HeartbeatInterval), sources: sources.NewSelector(o.VM, o.DataCentre),
-		feed: NewFeed(), changed: make(chan struct{}), patchCache: map[patchKey]Entry{},
+		options: o, registry: NewRegistry(o.UpstreamAddress, o.HeartbeatInterval),
+		budget: budget, sources: sources.NewSelector(o.VM, o.DataCentre, budget), feed: NewFeed(), changed: make(chan struct{}), patchCache: map[patchKey]Entry{},
 		wideLinks: wideLinkSet{},
 	}
 	if o.WideLink {
@@ -169,8 +172,13 @@
 	return StoreStatus{Era: s.feed.Era(), Revision: s.feed.Revision(), EraChanges: s.eraChanges}
 }
 
+// errNoAnswer means that a source has not answered within the limits of a read.
+var errNoAnswer = eris.New("the source did not answer in time; trying another one")
+
 // readResult is the outcome of one read.
 type readResult struct {
+	// number tells the reads of a node apart.
+	number uint64
 	source string
 	delta  Delta
 	err    error
@@ -178,13 +186,37 @@
 
 // Run reads from the store or other nodes and updates the view until ctx ends.
 func (s *Syncer) Run(ctx context.Context) {
-	results := make(chan readResult, 1)
+	results := make(chan readResult, maxOpenReads)
 	expire := time.NewTicker(removalCheckInterval)
 	defer expire.Stop()
 	nextRead := time.NewTimer(0)
 	defer nextRead.Stop()
+	// noAnswer ends the wait for an answer, which is still used if it arrives later.
+	noAnswer := time.NewTimer(0)
+	noAnswer.Stop()
 	retryDelay := initialRetryDelay
 	var startedAt time.Duration
+	var reads uint64
+	// current is the read that the node waits for. Its number is 0 between two reads.
+	var current readResult
+	handle := func(result readResult) {
+		current = readResult{}
+		noAnswer.Stop()
+		err := s.handleResult(result)
+		untilInterval := max(0, s.readInterval(result.source)-(s.options.Clock.Now()-startedAt))
+		switch {
+		case err == nil:
+			retryDelay = initialRetryDelay
+			nextRead.Reset(untilInterval)
+		case errors.Is(err, ErrEraChanged):
+			nextRead.Reset(untilInterval + rand.N(eraReadJitter))
+		default:
+			nextRead.Reset(s.retryPause(err, retryDelay))
+			if result.source == sources.Store {
+				retryDelay = min(2*retryDelay, maxRetryDelay)
+			}
+		}
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -195,26 +227,25 @@
 				s.settleDispute(startedAt, "a follower")
 			}
 			source := s.nextSource(startedAt)
-			wait := readWait
-			if source != sources.Store && s.sources.IsReader() {
-				wait = relayReadWait
-			}
-			go s.read(results, source, s.position(source), wait)
+			position := s.position(source)
+			limits := s.sources.Limits(source, s.StoreAge(), position.Revision == 0)
+			reads++
+			current = readResult{number: reads, source: source}
+			noAnswer.Reset(limits.Timeout)
+			go func(read readResult) {
+				select {
+				case results <- s.read(read, position, limits.Wait):
+				case <-ctx.Done():
+				}
+			}(current)
+		case <-noAnswer.C:
+			current.err = errNoAnswer
+			handle(current)
 		case result := <-results:
-			err := s.handleResult(result)
-			untilInterval := max(0, s.readInterval(result.source)-(s.options.Clock.Now()-startedAt))
-			if err == nil {
-				retryDelay = initialRetryDelay
-				nextRead.Reset(untilInterval)
-				continue
-			}
-			if errors.Is(err, ErrEraChanged) {
-				nextRead.Reset(untilInterval + rand.N(eraReadJitter))
-				continue
-			}
-			nextRead.Reset(s.retryPause(err, retryDelay))
-			if result.source == sources.Store {
-				retryDelay = min(2*retryDelay, maxRetryDelay)
+			if result.number == current.number {
+				handle(result)
+			} else {
+				s.handleLateResult(result)
 			}
 		case <-expire.C:
 			now := s.options.Clock.Now()
@@ -251,7 +282,7 @@
 // the store, all nodes read it, and they would all read everything at once.
 func (s *Syncer) nextSource(now time.Duration) string {
 	members := s.members()
-	name := s.sources.Next(now, members)
+	name := s.sources.Next(now, members, s.StoreAge())
 	if s.readStoreNext {
 		s.readStoreNext = false
 		return sources.Store
@@ -319,17 +350,31 @@
 	members         []sources.Member
 }
 
-func (s *Syncer) read(results chan<- readResult, name string, after Position, wait time.Duration) {
+// read reads from the source of the result and returns the result with the outcome.
+func (s *Syncer) read(result readResult, after Position, wait time.Duration) readResult {
 	source := s.options.Store
-	if name != sources.Store {
-		source = s.options.PeerSource(name)
+	if result.source != sources.Store {
+		source = s.options.PeerSource(result.source)
+	}
+	startedAt := s.options.Clock.Now()
+	result.delta, result.err = source.Read(after, wait)
+	result.delta.Whole = after.Revision == 0
+	// What the answer took beyond the wait, on a slow link or at a busy node, adds to the age that it states.
+	result.delta.StoreAge += max(0, s.options.Clock.Now()-startedAt-wait)
+	if result.err == nil && result.delta.StoreAge > s.budget.MaxStoreAge() {
+		result.err = ErrReaderStale
+	}
+	return result
+}
+
+// handleLateResult uses an answer that arrived after another read had started. What it can't be used for is up to that read.
+func (s *Syncer) handleLateResult(result readResult) {
+	if result.err != nil {
+		return
 	}
-	delta, err := source.Read(after, wait)
-	delta.Whole = after.Revision == 0
-	if err == nil && delta.StoreAge > sources.MaxStoreAge {
-		err = ErrReaderStale
+	if err := s.handleDelta(s.options.Clock.Now(), result); err != nil {
+		s.options.Log.WithError(err).WithField("source", result.source).Debug("dropped a late answer")
 	}
-	results <- readResult{name, delta, err}
 }
 
 // handleResult handles the outcome of a read. The error says after which delay the next read starts; it is nil if the
@@ -346,6 +391,7 @@
 	}
 	switch {
 	case err == nil:
+		s.recordAnswer(result.source)
 	case errors.Is(err, ErrEraChanged):
 		s.noticeRestore(now, result.source)
 	case errors.Is(err, ErrPatchBase), errors.Is(err, ErrPatchResult):
@@ -353,11 +399,10 @@
 		s.readEverything = true
 		err = nil
 	case errors.Is(err, ErrContentsDiffer):
-		s.sources.RecordFailure(now, result.source)
+		s.recordFailure(now, result.source, err)
 		s.settleDispute(now, result.source)
 	default:
-		s.sources.RecordFailure(now, result.source)
-		s.options.Log.WithError(err).WithField("source", result.source).Debug("reading from a source failed; trying again, possibly from another source")
+		s.recordFailure(now, result.source, err)
 	}
 	s.logStoreContact(result.source, err)
 	return err
--- a/pkg/mesh/maintainer_test.go
+++ b/pkg/mesh/maintainer_test.go
@@ -43,7 +43,7 @@
 	g.Eventually(s.StoreAge, time.Second, time.Millisecond).Should(BeNumerically("<", time.Second))
 	time.Sleep(sources.MaxStoreAge - 100*time.Millisecond - s.StoreAge())
 	asked := time.Now()
-	delta := s.ServeRead(Position{Revision: 7}, readWait)
+	delta := s.ServeRead(Position{Revision: 7}, sources.ReadWait)
 	g.Expect(delta.StoreAge).To(BeNumerically(">", sources.MaxStoreAge))
 	g.Expect(time.Since(asked)).To(BeNumerically("<", 300*time.Millisecond))
 }
--- a/pkg/mesh/maintainerlog.go
+++ b/pkg/mesh/maintainerlog.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "github.com/sirupsen/logrus"
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
 
 // logEraChange reports the change to a later era. values is the number of entries before it, changed are the entries
 // that differ.
@@ -35,6 +39,25 @@
 	}
 }
 
+// recordFailure records that a source failed, and logs it if this node has to look for another source.
+func (s *Syncer) recordFailure(now time.Duration, source string, err error) {
+	line := s.options.Log.WithError(err).WithFields(logrus.Fields{"source": source, "age_ms": s.StoreAge().Milliseconds()})
+	if s.sources.Searching() {
+		line.Debug("another source failed")
+	} else {
+		line.Info("reading from a source failed; looking for another one")
+	}
+	s.sources.RecordFailure(now, source)
+}
+
+// recordAnswer records that a source answered, and logs it if this node was looking for one.
+func (s *Syncer) recordAnswer(source string) {
+	if s.sources.Searching() {
+		s.options.Log.WithFields(logrus.Fields{"source": source, "age_ms": s.StoreAge().Milliseconds()}).Info("found a source that answers")
+	}
+	s.sources.RecordAnswer(source)
+}
+
 func (s *Syncer) logViewChange(last, next *View) {
 	s.mu.Lock()
 	fields := logrus.Fields{"era": s.feed.Era(), "revision": s.feed.Revision(), "source": s.viewSource, "vms": len(next.VMs)}
--- a/pkg/mesh/reader_restart_test.go
+++ b/pkg/mesh/reader_restart_test.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bamboodeal/bamboodeal/decision/sources"
 	"github.com/bamboodeal/bamboodeal/pkg/clock"
 )
 
@@ -135,8 +136,8 @@
 	storeIsCut.Store(true)
 	stopFirst()
 	reader.Store(nil)
-	// Reads that wait at the store or the reader end within readWait.
-	time.Sleep(readWait + 100*time.Millisecond)
+	// Reads that wait at the store or the reader end within sources.ReadWait.
+	time.Sleep(sources.ReadWait + 100*time.Millisecond)
 	store.put("upstream/leaving", "")
 	store.put("evacuated/south", "")
 	second, stopSecond := start(readerAddress, "south", store)
--- a/pkg/mesh/registry_test.go
+++ b/pkg/mesh/registry_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/bamboodeal/bamboodeal/decision/sources"
 )
 
 const heartbeat = 1500 * time.Millisecond
@@ -23,7 +25,7 @@
 	r.RecordContact(time.Second, false)
 	r.Apply(0, Change{Upstream: newUpstream("a", 1, 1)})
 	// A read without changes takes its whole wait, which does not count as an outage.
-	now := time.Second + 2*readWait
+	now := time.Second + 2*sources.ReadWait
 	r.RecordContact(now, false)
 	r.Apply(now, Change{RemovedUpstream: "a"})
 	g.Expect(r.View().OwnUpstream).To(BeNil())
--- a/pkg/mesh/serve.go
+++ b/pkg/mesh/serve.go
@@ -12,11 +12,11 @@
 func (s *Syncer) ServeRead(after Position, wait time.Duration) Delta {
 	// The timer also ends when this node's contact with the store becomes too old, so that the follower learns of it
 	// immediately and not at the end of its wait.
-	timer := time.NewTimer(min(wait, readWait, max(0, sources.MaxStoreAge-s.StoreAge())+time.Millisecond))
+	timer := time.NewTimer(min(wait, sources.ReadWait, max(0, s.budget.MaxStoreAge()-s.StoreAge())+time.Millisecond))
 	defer timer.Stop()
 	for {
 		delta, changed := s.changesSince(after)
-		if len(delta.Entries) > 0 || delta.Full || delta.ContentsDigest != 0 || delta.Era != after.Era || delta.StoreAge > sources.MaxStoreAge {
+		if len(delta.Entries) > 0 || delta.Full || delta.ContentsDigest != 0 || delta.Era != after.Era || delta.StoreAge > s.budget.MaxStoreAge() {
 			return delta
 		}
 		select {
--- a/pkg/sidecar/message.go
+++ b/pkg/sidecar/message.go
@@ -9,15 +9,13 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bamboodeal/bamboodeal/api/response"
+	"github.com/bamboodeal/bamboodeal/decision/sources"
 	"github.com/bamboodeal/bamboodeal/pkg/mesh"
 	"github.com/bamboodeal/bamboodeal/pkg/peer"
 )
 
 const (
 	storeChangesPath = "/v1/feed"
-	// storeChangesTimeoutMargin is how long the response to a storeChangesRequest may take beyond the wait. After that
-	// the other node counts as unresponsive.
-	storeChangesTimeoutMargin = 350 * time.Millisecond
 	// compressionThreshold is the size in bytes above which a message between nodes is compressed.
 	compressionThreshold = 512
 	s2Encoding           = "s2"
@@ -152,18 +150,12 @@
 
 // Read returns what changed after a position. It returns mesh.ErrReaderStale if the other node has no recent contents.
 func (s peerSource) Read(after mesh.Position, wait time.Duration) (d mesh.Delta, err error) {
-	sentAt := s.node.o.Clock.Now()
 	request, response := storeChangesRequest{Position: after, WaitMS: wait.Milliseconds(), Eras: true}, storeChangesResponse{}
-	err = postMessage(s.node.peerPool, s.vm+s.node.peerPort, storeChangesPath, request, &response, wait+storeChangesTimeoutMargin)
+	err = postMessage(s.node.peerPool, s.vm+s.node.peerPort, storeChangesPath, request, &response, wait+sources.AnswerMargin)
 	d = response.deltaAfter(after)
 	if err == nil && response.Revision == 0 && response.Era == 0 {
 		err = mesh.ErrReaderStale
 	}
-	if err == nil && len(d.Entries) > 0 {
-		// On a slow link the response may take long, so the time of the exchange beyond the wait is added to the age
-		// that the other node stated.
-		d.StoreAge += s.node.o.Clock.Now() - sentAt - min(s.node.o.Clock.Now()-sentAt, wait)
-	}
 	return d, err
 }
 
--- a/pkg/sidecar/options.go
+++ b/pkg/sidecar/options.go
@@ -65,6 +65,9 @@
 	StopGracePeriod time.Duration
 	// HeartbeatInterval is the interval at which upstreams report to the platform's store.
 	HeartbeatInterval time.Duration
+	// ChangeBound is the time from the store's acknowledgement of a change within which the node has to act on it. 0 stands
+	// for the default of package sources.
+	ChangeBound time.Duration
 	// ColdRateFactor and ColdRateSlack bound the requests to a cold upstream in any second: its cold rate x
 	// ColdRateFactor + ColdRateSlack.
 	ColdRateFactor float64
