Keep late answers from bringing entries back

An answer whose read was given up is still used, so a full answer of the store can now arrive after a newer one. In a store without Store-Era it would have added entries that were removed in between, for good unless another node has other entries. An answer that is behind has no news, as the feed is complete up to its revision, and is dropped now.

TestLateAnswerBringsNothingBack; TestAnswerThatArrivesLateIsUsed shows that a node behind a store that takes 1.5 s for each answer gets a view.

The loop of reads has a file and a type of its own; no other change.

--- a/pkg/mesh/lost_readers_test.go
+++ b/pkg/mesh/lost_readers_test.go
@@ -168,3 +168,30 @@
 		}
 	}
 }
+
+// Load: a store that takes longer for each answer than a node waits for one. Guards against a node that drops all answers and
+// never has a view.
+func TestAnswerThatArrivesLateIsUsed(t *testing.T) {
+	g := NewWithT(t)
+	const answerTime = 1500 * time.Millisecond
+	s := newTestSyncer(nil)
+	s.options.Store = sourceFunc(func(Position, time.Duration) (Delta, error) {
+		time.Sleep(answerTime)
+		return Delta{Entries: []Entry{newEntry("upstream/own", "orders north "+ownAddress, 1)}, Revision: 1, Full: true}, nil
+	})
+	go s.Run(t.Context())
+	g.Eventually(func() *Upstream { return s.View().OwnUpstream }, 2*answerTime, 5*time.Millisecond).ShouldNot(BeNil())
+	g.Expect(s.StoreAge()).To(BeNumerically(">", time.Second), "the time that the answer took is part of its age")
+}
+
+// Guards against a late answer that brings back an entry which was removed since its read.
+func TestLateAnswerBringsNothingBack(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestSyncer(nil)
+	own := newEntry("upstream/own", "orders north "+ownAddress, 1)
+	g.Expect(s.handleResult(readResult{delta: Delta{Entries: []Entry{own}, Revision: 7, Full: true}})).To(Succeed())
+	s.handleLateResult(readResult{delta: Delta{Entries: []Entry{newEntry("upstream/gone", "orders north 10.0.0.8:9000", 2)}, Revision: 5, Full: true, Whole: true}})
+	g.Expect(s.View().VMs).To(Equal([]string{HostIP(ownAddress)}))
+	s.handleLateResult(readResult{delta: Delta{Entries: []Entry{newEntry("upstream/new", "orders north 10.0.0.9:9000", 8)}, Revision: 8}})
+	g.Expect(s.View().VMs).To(HaveLen(2))
+}
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -1,14 +1,12 @@
 package mesh
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/bamboodeal/bamboodeal/decision/consistency"
@@ -43,9 +41,6 @@
 	// node would try all readers within a few milliseconds and then ask the store, before the readers have noticed the
 	// restore.
 	olderEraDelay = 200 * time.Millisecond
-	// maxOpenReads bounds the reads of which the node waits for an answer or that it has given up but that have not ended.
-	// Each ends within sources.ReadWait and an answer margin, and the next one starts after sources.minAttempt at the earliest.
-	maxOpenReads = 16
 	// removalCheckInterval is how often the registry is checked for entries whose removal is due.
 	removalCheckInterval = 250 * time.Millisecond
 )
@@ -172,111 +167,6 @@
 	return StoreStatus{Era: s.feed.Era(), Revision: s.feed.Revision(), EraChanges: s.eraChanges}
 }
 
-// errNoAnswer means that a source has not answered within the limits of a read.
-var errNoAnswer = eris.New("the source did not answer in time; trying another one")
-
-// readResult is the outcome of one read.
-type readResult struct {
-	// number tells the reads of a node apart.
-	number uint64
-	source string
-	delta  Delta
-	err    error
-}
-
-// Run reads from the store or other nodes and updates the view until ctx ends.
-func (s *Syncer) Run(ctx context.Context) {
-	results := make(chan readResult, maxOpenReads)
-	expire := time.NewTicker(removalCheckInterval)
-	defer expire.Stop()
-	nextRead := time.NewTimer(0)
-	defer nextRead.Stop()
-	// noAnswer ends the wait for an answer, which is still used if it arrives later.
-	noAnswer := time.NewTimer(0)
-	noAnswer.Stop()
-	retryDelay := initialRetryDelay
-	var startedAt time.Duration
-	var reads uint64
-	// current is the read that the node waits for. Its number is 0 between two reads.
-	var current readResult
-	handle := func(result readResult) {
-		current = readResult{}
-		noAnswer.Stop()
-		err := s.handleResult(result)
-		untilInterval := max(0, s.readInterval(result.source)-(s.options.Clock.Now()-startedAt))
-		switch {
-		case err == nil:
-			retryDelay = initialRetryDelay
-			nextRead.Reset(untilInterval)
-		case errors.Is(err, ErrEraChanged):
-			nextRead.Reset(untilInterval + rand.N(eraReadJitter))
-		default:
-			nextRead.Reset(s.retryPause(err, retryDelay))
-			if result.source == sources.Store {
-				retryDelay = min(2*retryDelay, maxRetryDelay)
-			}
-		}
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-nextRead.C:
-			startedAt = s.options.Clock.Now()
-			if s.disputed.Swap(false) {
-				s.settleDispute(startedAt, "a follower")
-			}
-			source := s.nextSource(startedAt)
-			position := s.position(source)
-			limits := s.sources.Limits(source, s.StoreAge(), position.Revision == 0)
-			reads++
-			current = readResult{number: reads, source: source}
-			noAnswer.Reset(limits.Timeout)
-			go func(read readResult) {
-				select {
-				case results <- s.read(read, position, limits.Wait):
-				case <-ctx.Done():
-				}
-			}(current)
-		case <-noAnswer.C:
-			current.err = errNoAnswer
-			handle(current)
-		case result := <-results:
-			if result.number == current.number {
-				handle(result)
-			} else {
-				s.handleLateResult(result)
-			}
-		case <-expire.C:
-			now := s.options.Clock.Now()
-			if s.registry.ApplyDueRemovals(now) {
-				s.publish()
-			}
-			s.uninterrupted.Store(s.registry.ContactUninterrupted(now))
-		}
-	}
-}
-
-// readInterval returns the shortest time between the starts of two reads. It is longer while the mesh starts, because
-// then all nodes read the store and each upstream that registers causes a change.
-func (s *Syncer) readInterval(source string) time.Duration {
-	switch {
-	case source != sources.Store:
-		return minReadInterval
-	case s.View().OwnUpstream == nil:
-		return startReadInterval
-	}
-	return minStoreReadInterval
-}
-
-// retryPause returns the time until the next read after a failed one.
-func (s *Syncer) retryPause(err error, delay time.Duration) time.Duration {
-	if errors.Is(err, ErrOlderEra) || s.options.Clock.Now() < s.avoidStoreUntil {
-		delay = max(delay, olderEraDelay)
-	}
-	return delay/2 + rand.N(delay/2)
-}
-
 // nextSource returns the source to read from now. After a restore, the first reader of a data centre reads the store,
 // which has just answered it. The other nodes leave the store to the readers for some time: while the readers have lost
 // the store, all nodes read it, and they would all read everything at once.
@@ -350,33 +240,6 @@
 	members         []sources.Member
 }
 
-// read reads from the source of the result and returns the result with the outcome.
-func (s *Syncer) read(result readResult, after Position, wait time.Duration) readResult {
-	source := s.options.Store
-	if result.source != sources.Store {
-		source = s.options.PeerSource(result.source)
-	}
-	startedAt := s.options.Clock.Now()
-	result.delta, result.err = source.Read(after, wait)
-	result.delta.Whole = after.Revision == 0
-	// What the answer took beyond the wait, on a slow link or at a busy node, adds to the age that it states.
-	result.delta.StoreAge += max(0, s.options.Clock.Now()-startedAt-wait)
-	if result.err == nil && result.delta.StoreAge > s.budget.MaxStoreAge() {
-		result.err = ErrReaderStale
-	}
-	return result
-}
-
-// handleLateResult uses an answer that arrived after another read had started. What it can't be used for is up to that read.
-func (s *Syncer) handleLateResult(result readResult) {
-	if result.err != nil {
-		return
-	}
-	if err := s.handleDelta(s.options.Clock.Now(), result); err != nil {
-		s.options.Log.WithError(err).WithField("source", result.source).Debug("dropped a late answer")
-	}
-}
-
 // handleResult handles the outcome of a read. The error says after which delay the next read starts; it is nil if the
 // read needs no delay.
 func (s *Syncer) handleResult(result readResult) error {
--- a/pkg/mesh/source.go
+++ b/pkg/mesh/source.go
@@ -59,7 +59,7 @@
 	return consistency.Contents{Era: p.Era, Revision: p.Revision, Digest: p.ContentsDigest}
 }
 
-// Source is the platform's store or another node. Only one goroutine uses a Source.
+// Source is the platform's store or another node. Reads may overlap, because one that was given up goes on until it times out.
 type Source interface {
 	// Read returns what changed after a position. It waits until there is a change, but no longer than the given time.
 	// A position with revision 0 returns everything without waiting, and is the way to continue after ErrHistoryLost and
