Split long functions of the feed and its tests

Full deltas, contact with the store and the simulated contents are parts of their own now; the simulation plays the same events in another order of its random numbers. No behaviour changes.

--- a/decision/sources/budget.go
+++ b/decision/sources/budget.go
@@ -17,10 +17,10 @@
 	// probeWait is the same while a node looks for a source that answers: one that works then shows it at once. A change
 	// that the node has missed is returned without a wait in any case.
 	probeWait = time.Millisecond
-	// AnswerMargin is how long the answer of a node may take beyond the wait, StoreAnswerMargin that of the store. A busy
+	// AnswerMargin is how long the answer of a node may take beyond the wait, storeAnswerMargin that of the store. A busy
 	// node takes longer for an answer than the network; minAnswerMargin is what is always left for it.
 	AnswerMargin      = 350 * time.Millisecond
-	StoreAnswerMargin = 600 * time.Millisecond
+	storeAnswerMargin = 600 * time.Millisecond
 	minAnswerMargin   = 150 * time.Millisecond
 	// wholeReadTimeout is how long the store may take for all entries. Without them a node has nothing to serve with, and no
 	// other source is more certain to have them.
--- a/decision/sources/readers.go
+++ b/decision/sources/readers.go
@@ -152,7 +152,7 @@
 		wait = relayReadWait
 	}
 	if source == Store {
-		l := Limits{wait, wait + StoreAnswerMargin}
+		l := Limits{wait, wait + storeAnswerMargin}
 		if whole {
 			return Limits{wait, wholeReadTimeout}
 		}
--- a/pkg/mesh/consistency_test.go
+++ b/pkg/mesh/consistency_test.go
@@ -203,105 +203,149 @@
 	}
 }
 
+const (
+	contentsNodes = 5
+	// earlierRelease is the node of the release that states no digests and sends the first patch that it made for a value.
+	earlierRelease = contentsNodes - 1
+)
+
+// contentsSimulation plays changes, restarts, a lost history and late answers under nodes that read from the store, which is
+// source 0, and from each other.
+type contentsSimulation struct {
+	r       *rand.Rand
+	now     testClock
+	store   *storeStub
+	version int
+	// historyFrom is the revision from which the store has its history.
+	historyFrom uint64
+	syncers     [contentsNodes]*Syncer
+	late        [contentsNodes][]readResult
+	// patches holds the first patch of earlierRelease for each value.
+	patches map[string]Entry
+}
+
+func newContentsSimulation(seed uint64) *contentsSimulation {
+	s := &contentsSimulation{r: rand.New(rand.NewPCG(seed, 41)), store: &storeStub{entries: map[string]Entry{}}, patches: map[string]Entry{}}
+	for node := range s.syncers {
+		s.syncers[node] = newContentsSyncer(&s.now)
+	}
+	return s
+}
+
+// change plays one change of the store or a restart of a node.
+func (s *contentsSimulation) change() {
+	other := fmt.Sprint("other/", s.r.IntN(4))
+	switch s.r.IntN(8) {
+	case 0, 1:
+		s.version++
+		s.store.put("config", configOf(s.version, 40+s.r.IntN(120)))
+	case 2:
+		s.store.put(other, configOf(s.r.IntN(100), s.r.IntN(200)))
+	case 3:
+		if s.store.entries[other].Value != "" {
+			s.store.put(other, "")
+		}
+	case 4:
+		if node := s.r.IntN(contentsNodes); s.r.IntN(4) == 0 {
+			s.syncers[node], s.late[node] = newContentsSyncer(&s.now), nil
+		}
+	case 5:
+		s.historyFrom = s.store.revision
+	}
+}
+
+// repeatAnswer lets a node handle an answer that was delayed, once or again.
+func (s *contentsSimulation) repeatAnswer(node int) {
+	if list := s.late[node]; len(list) > 0 && s.r.IntN(3) == 0 {
+		answer := list[s.r.IntN(len(list))]
+		answer.delta.Entries = slices.Clone(answer.delta.Entries)
+		_ = s.syncers[node].handleResult(answer)
+	}
+}
+
+// read lets a node read from a source. With delays, the answer may arrive later.
+func (s *contentsSimulation) read(node, source int, delays bool) {
+	syncer := s.syncers[node]
+	if source == node && node != 0 {
+		return
+	}
+	if syncer.disputed.Swap(false) {
+		syncer.settleDispute(s.now.Now(), "a follower")
+	}
+	if syncer.readStoreNext {
+		syncer.readStoreNext, source = false, 0
+	}
+	result := s.answer(syncer, source)
+	if delays && s.r.IntN(4) == 0 {
+		s.late[node] = append(s.late[node], result)
+		return
+	}
+	_ = syncer.handleResult(result)
+}
+
+// answer returns the answer of a source to a node.
+func (s *contentsSimulation) answer(to *Syncer, source int) (result readResult) {
+	if source != 0 {
+		result.source = fmt.Sprint("node ", source)
+	}
+	position := to.position(result.source)
+	whole := position.Revision == 0
+	switch {
+	case source != 0:
+		result.delta, _ = s.syncers[source].changesSince(position)
+		result.delta.Entries = slices.Clone(result.delta.Entries)
+	case !whole && position.Revision < s.historyFrom:
+		return readResult{err: ErrHistoryLost}
+	default:
+		result.delta = s.store.changesSince(position.Revision)
+	}
+	if source == earlierRelease {
+		s.sendAsEarlierRelease(&result.delta)
+	}
+	result.delta.Whole = whole
+	return result
+}
+
+// sendAsEarlierRelease changes an answer to what earlierRelease sends.
+func (s *contentsSimulation) sendAsEarlierRelease(d *Delta) {
+	d.ContentsDigest = 0
+	for i, e := range d.Entries {
+		if len(e.Patch) == 0 {
+			continue
+		}
+		key := fmt.Sprint(e.Key, e.Base)
+		if earlier, ok := s.patches[key]; ok {
+			earlier.Revision = e.Revision
+			e = earlier
+		}
+		e.Result, s.patches[key] = 0, e
+		d.Entries[i] = e
+	}
+}
+
 // Guards against any other way in which a node builds a value that the store does not hold: small and large values that grow
 // and shrink, several missed versions, restarts of both sides, a lost history, repeated and late answers, and senders of the
 // release whose patches have no digest and may produce an earlier value. Nothing is written after the faults.
 func TestNodesEndWithContentsOfStore(t *testing.T) {
-	const seeds, nodes, steps, contacts = 300, 5, 300, 40
+	const seeds, steps, contacts = 300, 300, 40
 	for seed := range uint64(seeds) {
-		r := rand.New(rand.NewPCG(seed, 41))
-		store := &storeStub{entries: map[string]Entry{}}
-		syncers := make([]*Syncer, nodes)
-		var now testClock
-		earlierPatches := map[string]Entry{}
-		late := make([][]readResult, nodes)
-		version, historyFrom := 0, uint64(0)
-		// The last node is of the earlier release: it states no digests and sends the first patch that it made for a value.
-		read := func(i int, reader int, faults bool) {
-			s, source := syncers[i], ""
-			if reader != 0 {
-				source = fmt.Sprint("node ", reader)
-			}
-			if s.disputed.Swap(false) {
-				s.settleDispute(now.Now(), "a follower")
-			}
-			if s.readStoreNext {
-				s.readStoreNext, source, reader = false, "", 0
-			}
-			position := s.position(source)
-			d := store.changesSince(position.Revision)
-			if source != "" {
-				d, _ = syncers[reader].changesSince(position)
-				d.Entries = slices.Clone(d.Entries)
-			}
-			if reader == nodes-1 {
-				d.ContentsDigest = 0
-				for j, e := range d.Entries {
-					if len(e.Patch) > 0 {
-						key := fmt.Sprint(e.Key, e.Base)
-						if earlier, ok := earlierPatches[key]; ok {
-							earlier.Revision = e.Revision
-							e = earlier
-						}
-						e.Result, earlierPatches[key] = 0, e
-						d.Entries[j] = e
-					}
-				}
-			}
-			d.Whole = position.Revision == 0
-			result := readResult{source: source, delta: d}
-			if source == "" && !d.Whole && position.Revision < historyFrom {
-				result = readResult{err: ErrHistoryLost}
-			}
-			if faults && r.IntN(4) == 0 {
-				late[i] = append(late[i], result)
-				return
-			}
-			_ = s.handleResult(result)
-		}
-		for i := range syncers {
-			syncers[i] = newContentsSyncer(&now)
-		}
+		s := newContentsSimulation(seed)
 		for range steps {
-			now += testClock(simStep)
-			switch r.IntN(8) {
-			case 0, 1:
-				version++
-				store.put("config", configOf(version, 40+r.IntN(120)))
-			case 2:
-				store.put(fmt.Sprint("other/", r.IntN(4)), configOf(r.IntN(100), r.IntN(200)))
-			case 3:
-				if key := fmt.Sprint("other/", r.IntN(4)); store.entries[key].Value != "" {
-					store.put(key, "")
-				}
-			case 4:
-				if i := r.IntN(nodes); r.IntN(4) == 0 {
-					syncers[i], late[i] = newContentsSyncer(&now), nil
-				}
-			case 5:
-				historyFrom = store.revision
-			}
-			i := r.IntN(nodes)
-			if list := late[i]; len(list) > 0 && r.IntN(3) == 0 {
-				answer := list[r.IntN(len(list))]
-				answer.delta.Entries = slices.Clone(answer.delta.Entries)
-				_ = syncers[i].handleResult(answer)
-			}
-			if reader := r.IntN(nodes); reader != i || i == 0 {
-				read(i, reader, true)
-			}
+			s.now += testClock(simStep)
+			s.change()
+			node := s.r.IntN(contentsNodes)
+			s.repeatAnswer(node)
+			s.read(node, s.r.IntN(contentsNodes), true)
 		}
 		for range contacts {
-			now += testClock(time.Second)
-			for i := range syncers {
-				if reader := r.IntN(nodes - 1); reader != i || i == 0 {
-					read(i, reader, false)
-				}
+			s.now += testClock(time.Second)
+			for node := range s.syncers {
+				s.read(node, s.r.IntN(earlierRelease), false)
 			}
 		}
-		for i, s := range syncers {
-			if !maps.Equal(valuesOf(s.feed.entries), valuesOf(store.entries)) {
-				t.Errorf("seed %d: node %d does not have the contents of the store at revision %d of %d", seed, i, s.feed.Revision(), store.revision)
+		for node, syncer := range s.syncers {
+			if !maps.Equal(valuesOf(syncer.feed.entries), valuesOf(s.store.entries)) {
+				t.Errorf("seed %d: node %d does not have the contents of the store at revision %d of %d", seed, node, syncer.feed.Revision(), s.store.revision)
 			}
 		}
 	}
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -243,15 +243,7 @@
 		changed = f.repair(d.Entries)
 	}
 	if d.Full {
-		listed := map[string]bool{}
-		for _, e := range d.Entries {
-			listed[e.Key] = true
-		}
-		for key, e := range f.entries {
-			if !listed[key] && e.Revision <= d.Revision {
-				changed = append(changed, f.putEntry(Entry{Key: key, Revision: d.Revision, Removed: true})...)
-			}
-		}
+		changed = append(changed, f.removeUnlisted(d)...)
 		f.recordGap(d.Revision)
 	}
 	// The feed is complete up to its revision, so a delta that is behind has news only after it. An entry from before
@@ -270,6 +262,21 @@
 	return changed, nil
 }
 
+// removeUnlisted removes the entries that a full delta does not list, and returns the removals.
+func (f *Feed) removeUnlisted(d Delta) []Entry {
+	listed := map[string]bool{}
+	for _, e := range d.Entries {
+		listed[e.Key] = true
+	}
+	var removed []Entry
+	for key, e := range f.entries {
+		if !listed[key] && e.Revision <= d.Revision {
+			removed = append(removed, f.putEntry(Entry{Key: key, Revision: d.Revision, Removed: true})...)
+		}
+	}
+	return removed
+}
+
 // repair puts the entries that differ from those of a whole delta although the feed has them from the same revision, or has
 // recorded their removal since. It returns these entries. Something went wrong before, so that putEntry would take them
 // for known.
--- a/pkg/mesh/lost_readers_test.go
+++ b/pkg/mesh/lost_readers_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -99,11 +101,7 @@
 	time.Sleep(span)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var vms []string
-	for vm := range m.storeReads {
-		vms = append(vms, vm)
-	}
-	return vms
+	return slices.Collect(maps.Keys(m.storeReads))
 }
 
 // Load: the nodes that read the store for their data centres are lost right before a key is withdrawn, an upstream leaves and a
--- a/pkg/mesh/maintainer.go
+++ b/pkg/mesh/maintainer.go
@@ -348,11 +348,7 @@
 		s.registry.BeginEra(s.eraBeganAt, d.Era)
 	}
 	// An answer to a follower states the contact with the store in the era of its contents, so both change together.
-	if at := now - d.StoreAge; (d.Revision > 0 || d.Era > 0) && s.feed.Era() == d.Era && (newEra || int64(at) > s.confirmedAt.Load()) {
-		s.confirmedAt.Store(int64(at))
-		s.registry.RecordContact(at, d.Uninterrupted)
-		s.uninterrupted.Store(s.registry.ContactUninterrupted(now))
-	}
+	s.recordContact(now, d, newEra)
 	if newEra || d.FromStore {
 		s.storeRestored = false
 	}
@@ -372,6 +368,18 @@
 	return nil
 }
 
+// recordContact records when the store confirmed what a delta holds, if that is later than what is known or the first contact
+// in an era.
+func (s *Syncer) recordContact(now time.Duration, d Delta, newEra bool) {
+	at := now - d.StoreAge
+	if (d.Revision == 0 && d.Era == 0) || s.feed.Era() != d.Era || (!newEra && int64(at) <= s.confirmedAt.Load()) {
+		return
+	}
+	s.confirmedAt.Store(int64(at))
+	s.registry.RecordContact(at, d.Uninterrupted)
+	s.uninterrupted.Store(s.registry.ContactUninterrupted(now))
+}
+
 // applyEntries applies changed entries to the registry. newEra is true if they come from the first full read of an era,
 // which makes a new view in any case.
 func (s *Syncer) applyEntries(now time.Duration, entries []Entry, era uint64, newEra bool) {
