Keep a value that a whole answer only refers to

A whole answer replaces what a node has from the same revision, and an entry that says "unchanged" in it would have put an empty value in place of the known one. No node sends that to a read without a position, so it would be bad input, which is never applied. TestWholeAnswerWithoutValueChangesNothing failed before with the empty value.

--- a/pkg/mesh/consistency_test.go
+++ b/pkg/mesh/consistency_test.go
@@ -154,6 +154,18 @@
 	}
 }
 
+// Guards against a whole answer that refers to a value in place of carrying it, which no node asks for.
+func TestWholeAnswerWithoutValueChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFeed()
+	kept := newEntry("a", "x", 1)
+	applyDelta(g, f, Delta{Entries: []Entry{kept}, Revision: 1, Full: true})
+	changed, err := f.Apply(Delta{Entries: []Entry{{Key: "a", Revision: 1, Unchanged: true}}, Revision: 1, Full: true, Whole: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changed).To(BeEmpty())
+	g.Expect(f.entries["a"]).To(Equal(kept))
+}
+
 // Guards against a node that stays with entries that the store does not have, and against a reader that hands them on: a
 // value, an entry that was removed, one that is missing. They must find out at the next contact without a further change.
 func TestDifferingContentsAreReadAgainFromStore(t *testing.T) {
--- a/pkg/mesh/feed.go
+++ b/pkg/mesh/feed.go
@@ -284,7 +284,7 @@
 	var changed []Entry
 	for _, e := range entries {
 		known, exists := f.entries[e.Key]
-		if e.Removed || !f.supersedes(e) || (exists && (known.Revision > e.Revision || known.Value == e.Value)) {
+		if e.Removed || e.Unchanged || !f.supersedes(e) || (exists && (known.Revision > e.Revision || known.Value == e.Value)) {
 			continue
 		}
 		f.keepEarlierValue(known)
