Return to readers that had lost the store without delay

Cause: the doubled backoff applied to readers that answer that they have lost the store, so after its return nodes read the store for up to 4 s. Under load a short margin for the answer made busy readers count as lost, and each search for a source asked the store for one more answer.

Change: only sources that give no answer get the longer backoff. When time is short, the wait for a change is cut before the margin for the answer, and only readers ask the store to answer at once.

TestBackoffDependsOnWhetherSourceAnswers and TestLimitsFollowFromTimeThatIsLeft hold the two rules; the cases of the bound pass as before.

--- a/decision/sources/budget.go
+++ b/decision/sources/budget.go
@@ -17,11 +17,12 @@
 	// probeWait is the same while a node looks for a source that answers: one that works then shows it at once. A change
 	// that the node has missed is returned without a wait in any case.
 	probeWait = time.Millisecond
-	// AnswerMargin is how long the answer of a node may take beyond the wait, storeAnswerMargin that of the store. A busy
-	// node takes longer for an answer than the network; minAnswerMargin is what is always left for it.
+	// AnswerMargin is how long the answer of a node may take beyond the wait, storeAnswerMargin that of the store. When
+	// time is short the wait becomes shorter before the margin falls below minAnswerMargin: a busy node that counts as
+	// lost sends its followers to the store.
 	AnswerMargin      = 350 * time.Millisecond
 	storeAnswerMargin = 600 * time.Millisecond
-	minAnswerMargin   = 150 * time.Millisecond
+	minAnswerMargin   = 300 * time.Millisecond
 	// wholeReadTimeout is how long the store may take for all entries. Without them a node has nothing to serve with, and no
 	// other source is more certain to have them.
 	wholeReadTimeout = 1300 * time.Millisecond
@@ -70,11 +71,14 @@
 // needsStore reports whether the time that is left has to be used for a read of the store.
 func (b Budget) needsStore(age time.Duration) bool { return b.left(age) < storeReserve+minAttempt }
 
-// limitPeer shortens an attempt at another node so that it leaves the reserve for the store. The time until then is
-// shared with the other nodes that are still to be tried.
-func (b Budget) limitPeer(l Limits, age time.Duration, candidates int) Limits {
+// limitPeer shortens an attempt at another node so that it leaves the reserve for the store. While the node is searching,
+// half of the time until then is left for the next attempt.
+func (b Budget) limitPeer(l Limits, age time.Duration, searching bool) Limits {
 	spare := b.left(age) - storeReserve
-	return l.shorten(max(minAttempt, spare/time.Duration(max(1, candidates))))
+	if searching {
+		spare /= 2
+	}
+	return l.shorten(max(minAttempt, spare))
 }
 
 // limitStore shortens an attempt at the store so that it leaves the reserve for other nodes, if there are any to be tried.
--- a/decision/sources/budget_test.go
+++ b/decision/sources/budget_test.go
@@ -99,7 +99,11 @@
 		n.confirmedAt = max(n.confirmedAt, f.now-age)
 		n.reading, n.nextReadAt = false, max(f.now, n.startedAt+simReadInterval)
 	case failed || f.now-n.startedAt >= n.limits.Timeout:
-		n.selector.RecordFailure(f.now, n.source)
+		if failed && n.source != Store && f.nodes[n.source].condition != resets {
+			n.selector.RecordRefusal(f.now, n.source)
+		} else {
+			n.selector.RecordFailure(f.now, n.source)
+		}
 		n.reading, n.nextReadAt = false, f.now+simRetryPause
 	}
 }
@@ -185,3 +189,54 @@
 		}
 	}
 }
+
+// Guards against followers that read the store for seconds after its return, because their readers had told them that it was
+// away: such a reader is asked again after the shortest backoff each time. One that gives no answer costs an attempt each
+// time, so it is asked less often, until it answers.
+func TestBackoffDependsOnWhetherSourceAnswers(t *testing.T) {
+	g := NewWithT(t)
+	members := newMembers(4)
+	s := newSelector("north-1", "north")
+	s.Next(0, members, 0)
+	reader := s.Next(0, members, 0)
+	g.Expect(reader).NotTo(Equal(Store))
+	now := time.Duration(0)
+	backoff := func() time.Duration {
+		s.RecordAnswer(Store)
+		for from := now; ; now += 100 * time.Millisecond {
+			if s.Next(now, members, 0) == reader {
+				return now - from
+			}
+			s.nextRendezvous = now + time.Minute
+		}
+	}
+	for range 4 {
+		s.RecordRefusal(now, reader)
+		g.Expect(backoff()).To(Equal(failureBackoff))
+	}
+	for _, expected := range []time.Duration{1, 2, 4, 4} {
+		s.RecordFailure(now, reader)
+		g.Expect(backoff()).To(Equal(expected * failureBackoff))
+	}
+	g.Expect(s.Limits(reader, 0, false).Wait).To(Equal(probeWait))
+	s.RecordAnswer(reader)
+	g.Expect(s.Limits(reader, 0, false)).To(Equal(Limits{ReadWait, ReadWait + AnswerMargin}))
+	s.RecordFailure(now, reader)
+	g.Expect(backoff()).To(Equal(failureBackoff))
+}
+
+// Guards against followers that leave a busy reader because a short wait leaves it little time, and against one that is
+// given more time than is left.
+func TestLimitsFollowFromTimeThatIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	s := newSelector("north-1", "north")
+	s.Next(0, newMembers(4), 0)
+	for age := time.Duration(0); age < DefaultChangeBound-effectReserve-storeReserve-minAttempt; age += 50 * time.Millisecond {
+		l := s.Limits("south-1", age, false)
+		g.Expect(l.Timeout).To(BeNumerically("<=", DefaultChangeBound-effectReserve-storeReserve-age))
+		g.Expect(l.Wait).To(SatisfyAny(Equal(probeWait), BeNumerically("<=", l.Timeout-minAnswerMargin)))
+	}
+	g.Expect(s.Limits("south-1", 640*time.Millisecond, false)).To(Equal(Limits{ReadWait, ReadWait + AnswerMargin}), "readers in calm")
+	g.Expect(s.Limits(Store, time.Minute, false)).To(Equal(Limits{ReadWait, ReadWait + storeAnswerMargin}), "nothing is left")
+	g.Expect(s.Limits(Store, 0, true).Timeout).To(Equal(wholeReadTimeout))
+}
--- a/decision/sources/readers.go
+++ b/decision/sources/readers.go
@@ -27,8 +27,8 @@
 	// maxRemoteReaders is the number of readers with wide links in other data centres that a node tries. It tries as
 	// many with narrow links.
 	maxRemoteReaders = 2
-	// failureBackoff is how long a source that failed is not used if there is another one. For a node that goes on to fail
-	// it doubles, at most maxBackoffDoublings times.
+	// failureBackoff is how long a source that failed is not used if there is another one. For a node that goes on to give
+	// no answer it doubles, at most maxBackoffDoublings times.
 	failureBackoff      = time.Second
 	maxBackoffDoublings = 2
 )
@@ -84,15 +84,14 @@
 	ownVM      string
 	dataCentre string
 	budget     Budget
-	// backoffUntil holds the times until which sources are avoided, failures how often they have failed without an answer
-	// in between.
+	// backoffUntil holds the times until which sources are avoided, silences how often in a row they gave no answer.
 	backoffUntil map[string]time.Duration
-	failures     map[string]int
+	silences     map[string]int
 	// searching is true since a source failed until any source answers, storeFailed if the store is one of those that
 	// failed since then.
 	searching, storeFailed bool
-	// candidates is the number of other nodes that the last call of Next could have returned.
-	candidates int
+	// otherNodesUsable says whether the last call of Next could have returned another node.
+	otherNodesUsable bool
 	// isReader is true while this node is a reader.
 	isReader bool
 	// readerFailures counts the failures of other nodes as sources.
@@ -109,7 +108,7 @@
 // NewSelector returns the selector of the node on a VM in the given data centre.
 func NewSelector(ownVM, dataCentre string, budget Budget) *Selector {
 	return &Selector{
-		ownVM: ownVM, dataCentre: dataCentre, budget: budget, backoffUntil: map[string]time.Duration{}, failures: map[string]int{},
+		ownVM: ownVM, dataCentre: dataCentre, budget: budget, backoffUntil: map[string]time.Duration{}, silences: map[string]int{},
 	}
 }
 
@@ -123,10 +122,7 @@
 	}
 	usable := slices.DeleteFunc(s.orderSources(now), func(name string) bool { return now < s.backoffUntil[name] })
 	storeIsUsable := slices.Contains(usable, Store)
-	s.candidates = len(usable)
-	if storeIsUsable {
-		s.candidates--
-	}
+	s.otherNodesUsable = len(usable) > 1 || (len(usable) == 1 && !storeIsUsable)
 	if storeIsUsable && !s.storeFailed && s.budget.needsStore(age) {
 		return Store
 	}
@@ -141,35 +137,28 @@
 }
 
 // Limits returns the limits of an attempt to read from the source that the last call of Next returned, or from another
-// one in its place. A source that failed last time, and all sources while none has answered since a failure, are asked
-// to answer at once. whole is true if the node needs all entries.
+// one in its place. whole is true if the node needs all entries. A source that gave no answer last time, and all sources
+// while none has answered since a failure, are asked to answer at once. Only readers ask this of the store: their
+// followers wait for them, and the others would need one more call.
 func (s *Selector) Limits(source string, age time.Duration, whole bool) Limits {
-	wait := ReadWait
+	wait, left := ReadWait, s.budget.left(age)
 	switch {
-	case s.searching || s.failures[source] > 0:
+	case (s.searching || s.silences[source] > 0) && (source != Store || s.isReader):
 		wait = probeWait
 	case source != Store && s.isReader:
 		wait = relayReadWait
 	}
-	if source == Store {
-		l := Limits{wait, wait + storeAnswerMargin}
-		if whole {
-			return Limits{wait, wholeReadTimeout}
-		}
-		if s.budget.left(age) <= 0 {
-			return l
-		}
-		return s.budget.limitStore(l, age, s.candidates > 0)
-	}
-	l := Limits{wait, wait + AnswerMargin}
-	if s.storeFailed || s.budget.left(age) <= 0 {
-		return l
-	}
-	candidates := 1
-	if s.searching {
-		candidates = s.candidates
+	switch {
+	case source == Store && whole:
+		return Limits{wait, wholeReadTimeout}
+	case source == Store && left <= 0:
+		return Limits{wait, wait + storeAnswerMargin}
+	case source == Store:
+		return s.budget.limitStore(Limits{wait, wait + storeAnswerMargin}, age, s.otherNodesUsable)
+	case s.storeFailed || left <= 0:
+		return Limits{wait, wait + AnswerMargin}
 	}
-	return s.budget.limitPeer(l, age, candidates)
+	return s.budget.limitPeer(Limits{wait, wait + AnswerMargin}, age, s.searching)
 }
 
 // orderSources returns the sources of this node in the order of preference. The first reader of a data centre reads the
@@ -250,21 +239,35 @@
 // IsReader reports whether this node is a reader according to the members that were passed to the last call of Next.
 func (s *Selector) IsReader() bool { return s.isReader }
 
-// RecordFailure records that a source failed, so that Next avoids it for some time.
+// RecordFailure records that a source gave no answer, so that Next avoids it for some time.
 func (s *Selector) RecordFailure(now time.Duration, name string) {
+	doublings := 0
+	if name != Store {
+		doublings = min(s.silences[name], maxBackoffDoublings)
+	}
+	s.silences[name]++
+	s.avoid(now, name, failureBackoff<<doublings)
+}
+
+// RecordRefusal records that a source answered without being of use, for example because it has lost the store. It may
+// be of use again soon, and then it has to keep its followers away from the store.
+func (s *Selector) RecordRefusal(now time.Duration, name string) {
+	delete(s.silences, name)
+	s.avoid(now, name, failureBackoff)
+}
+
+func (s *Selector) avoid(now time.Duration, name string, backoff time.Duration) {
 	s.searching = true
-	s.failures[name]++
+	s.backoffUntil[name] = now + backoff
 	if name == Store {
 		s.storeFailed = true
-		s.backoffUntil[name] = now + failureBackoff
-		return
+	} else {
+		s.readerFailures++
 	}
-	s.backoffUntil[name] = now + failureBackoff<<min(s.failures[name]-1, maxBackoffDoublings)
-	s.readerFailures++
 }
 
 // RecordAnswer records that a source answered with recent contents.
 func (s *Selector) RecordAnswer(name string) {
 	s.searching, s.storeFailed = false, false
-	delete(s.failures, name)
+	delete(s.silences, name)
 }
--- a/pkg/mesh/maintainerlog.go
+++ b/pkg/mesh/maintainerlog.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -47,7 +48,11 @@
 	} else {
 		line.Info("reading from a source failed; looking for another one")
 	}
-	s.sources.RecordFailure(now, source)
+	if errors.Is(err, ErrReaderStale) || errors.Is(err, ErrOlderEra) || errors.Is(err, ErrStoreBusy) || errors.Is(err, ErrContentsDiffer) {
+		s.sources.RecordRefusal(now, source)
+	} else {
+		s.sources.RecordFailure(now, source)
+	}
 }
 
 // recordAnswer records that a source answered, and logs it if this node was looking for one.
