--- a/review/harness-3/backend.go
+++ b/review/harness-3/backend.go
@@ -42,6 +42,9 @@
 	state     string
 	coldUntil time.Time
 	written   string
+	// silentUntil is the time until which the machine is cut off from the store.
+	silentUntil time.Time
+	beatAt      time.Time
 }
 
 func startBackend(o backendOptions, s *store) (*backend, error) {
@@ -74,7 +77,11 @@
 func (b *backend) beat() time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if time.Now().Before(b.silentUntil) {
+		return time.Now()
+	}
 	b.sequence++
+	b.beatAt = time.Now()
 	cold := max(0, time.Until(b.coldUntil).Seconds())
 	if look := fmt.Sprint(b.state, cold); look == b.written {
 		return time.Now()
@@ -87,6 +94,21 @@
 	})
 }
 
+// silence makes the backend write no entry for some time. The store removes its entry after three heartbeats without one.
+func (b *backend) silence(duration time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silentUntil = time.Now().Add(duration)
+	if lapse := 3*b.heartbeat - time.Since(b.beatAt); lapse < duration {
+		time.AfterFunc(lapse, func() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.written = ""
+			b.store.remove("servers/" + b.id)
+		})
+	}
+}
+
 // setCold makes the backend cold from now on.
 func (b *backend) setCold(duration time.Duration) {
 	b.mu.Lock()
--- a/review/harness-3/cold.go
+++ b/review/harness-3/cold.go
@@ -127,7 +127,7 @@
 					for i := range callTimes {
 						id := fmt.Sprintf("%s.%d", parent, i+1)
 						recordSent(id, n, &coldRoutes[2])
-						status, stamp := sendCold(client, n.outbound, id, &coldRoutes[2])
+						status, stamp := sendCold(client, n.outbound, id, &coldRoutes[2], coldKey)
 						rec.line("answer    %s %s %s", id, status, stamp)
 						if status != "200" {
 							return false
@@ -172,7 +172,7 @@
 					go func() {
 						defer requests.Done()
 						recordSent(id, n, &coldRoutes[k])
-						status, stamp := sendCold(client, n.outbound, id, &coldRoutes[k])
+						status, stamp := sendCold(client, n.outbound, id, &coldRoutes[k], coldKey)
 						rec.line("answer    %s %s %s", id, status, stamp)
 					}()
 				}
@@ -238,7 +238,7 @@
 }
 
 // sendCold sends one request and returns its status, or the error, and the stamp of the answer.
-func sendCold(client *http.Client, address, id string, route *coldRoute) (status, stamp string) {
+func sendCold(client *http.Client, address, id string, route *coldRoute, key string) (status, stamp string) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(route.deadline)*time.Millisecond)
 	defer cancel()
 	var body io.Reader
@@ -253,7 +253,7 @@
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", strconv.Itoa(route.deadline))
 	if !route.public {
-		req.Header.Set("X-Api-Key", coldKey)
+		req.Header.Set("X-Api-Key", key)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -16,7 +16,8 @@
 )
 
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
-	"cold": playCold,
+	"cold":  playCold,
+	"quota": playQuota,
 }
 
 func main() {
--- a/review/harness-3/mesh.go
+++ b/review/harness-3/mesh.go
@@ -18,11 +18,14 @@
 type node struct {
 	name, zone, service, ip       string
 	outbound, inbound, ready, app string
-	storeAddress                  string
-	file                          string
-	command                       *exec.Cmd
-	exited                        chan struct{}
-	log                           *os.File
+	// listen is where the node listens if others reach inbound through a link. peerPort is the port at which it reaches others.
+	listen       string
+	peerPort     int
+	storeAddress string
+	file         string
+	command      *exec.Cmd
+	exited       chan struct{}
+	log          *os.File
 }
 
 // mesh is a small deployment on loopback.
@@ -85,6 +88,9 @@
 		"ready_address": n.ready, "upstream_address": n.app, "store_address": n.storeAddress, "heartbeat_s": m.heartbeat, "memory_mb": 284,
 		"link_mbps": 1000.0, "metrics_address": fmt.Sprintf("%s:%d", n.ip, m.port+5), "bounds": m.bounds,
 	}
+	if n.listen != "" {
+		settings["peer_listen_address"] = n.listen
+	}
 	data, err := json.Marshal(settings)
 	if err != nil {
 		return err
