--- a/review/harness-3/link.go
+++ b/review/harness-3/link.go
@@ -163,6 +163,15 @@
 	}
 }
 
+// isolate cuts a node off from the store and from all other nodes.
+func (w *network) isolate(n *node) {
+	for pair, k := range w.links {
+		if pair[0] == n || pair[1] == n {
+			k.cut()
+		}
+	}
+}
+
 func (w *network) heal() {
 	for _, k := range w.links {
 		k.heal()
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -17,6 +17,7 @@
 
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"cold":  playCold,
+	"gone":  playGone,
 	"quota": playQuota,
 }
 
